--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+BINARIES := chestnut-router chestnut-controller chestnutctl chestnut-load chestnut-standin
+RACE_PACKAGES := $(shell go list ./internal/... ./intent/...)
+
+.PHONY: build demo test fmt
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bin/chestnut-load demo
+
+test:
+	bash .ci/run
+
+fmt:
+	go tool gofumpt -w cmd internal intent
