Decide admission, placement, retries and memory in one pure core

Cause: the host needs decisions that can be replayed and checked apart from I/O. Ruled out: queueing wholly in the engine, since a request bound early can't be refused or moved.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import "time"
+
+// Back-off of retries, randomised by up to the same amount again.
+const (
+	memoryBackoff = 20 * time.Millisecond
+	retryBackoff  = 5 * time.Millisecond
+)
+
+// firstTokenFactor and firstTokenFloor bound the wait for a first token: a
+// multiple of the prediction and not below the floor.
+const (
+	firstTokenFactor = 4
+	firstTokenFloor  = time.Second
+)
+
+// maxResumes bounds how often one attempt is resumed without a sign of life.
+const maxResumes = 3
+
+// start binds a queued request to a group: one engine gets it at once, several
+// are asked to reserve memory first.
+func (c *Core) start(now time.Duration, r *request, group []*upstream) {
+	c.queue.remove(r)
+	c.waits.observe(r.predictedWait, now-r.arrivedAt)
+	r.attempt++
+	r.group = group
+	c.charge(now, r)
+	if len(group) == 1 {
+		c.send(now, r)
+		return
+	}
+	r.phase = phaseReserving
+	r.pending = len(group)
+	for i, u := range group {
+		c.emit(Reserve{
+			ID:       r.ID,
+			Attempt:  r.attempt,
+			Upstream: u.name,
+			Address:  u.address,
+			Tokens:   r.charged[i].memory,
+			Deadline: r.Deadline,
+		})
+	}
+}
+
+// send starts the current attempt on its leader.
+func (c *Core) send(now time.Duration, r *request) {
+	r.phase = phasePrefill
+	r.sentAt = now
+	r.resumed = 0
+	members := make([]Member, len(r.group))
+	for i, u := range r.group {
+		members[i] = Member{Upstream: u.name, Address: u.address}
+	}
+	c.emit(Send{
+		ID:                r.ID,
+		Attempt:           r.attempt,
+		Group:             members,
+		Priority:          r.key,
+		Deadline:          r.Deadline,
+		FirstTokenTimeout: c.firstTokenTimeout(now, r),
+		Offset:            r.delivered,
+	})
+}
+
+func (c *Core) firstTokenTimeout(now time.Duration, r *request) time.Duration {
+	leader := r.group[0]
+	backlog := time.Duration(float64(leader.backlog(now)) / leader.prefillRate(&c.cfg) * float64(time.Second))
+	return max(firstTokenFloor, firstTokenFactor*(backlog+r.cost.prefill))
+}
+
+func (c *Core) reserved(now time.Duration, e Reserved) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil || r.phase != phaseReserving {
+		// The memory may have been reserved after the attempt was given up.
+		c.cancelLate(now, e)
+		return
+	}
+	if e.Class != "" {
+		c.noteFailure(e.Upstream, e.Class)
+		c.abandon(now, r)
+		c.requeue(now, r, memoryBackoff)
+		return
+	}
+	r.pending--
+	if r.pending > 0 {
+		return
+	}
+	if !allUsable(r.group) {
+		// A member began to leave or failed while the others answered.
+		c.abandon(now, r)
+		c.requeue(now, r, retryBackoff)
+		return
+	}
+	c.send(now, r)
+}
+
+func allUsable(group []*upstream) bool {
+	for _, u := range group {
+		if !u.usable() {
+			return false
+		}
+	}
+	return true
+}
+
+// cancelLate gives back memory that was reserved for an attempt already over.
+func (c *Core) cancelLate(now time.Duration, e Reserved) {
+	u := c.upstreams[e.Upstream]
+	if e.Class == NotRun || e.Class == NoMemory || u == nil {
+		return
+	}
+	c.cancel(now, u, e.ID, e.Attempt)
+}
+
+func (c *Core) firstToken(now time.Duration, e FirstToken) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil || r.phase != phasePrefill {
+		return
+	}
+	r.phase = phaseStreaming
+	c.prefilled(now, r)
+	c.dirty = true
+}
+
+func (c *Core) finished(now time.Duration, e Finished) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil {
+		return
+	}
+	for _, u := range r.group[min(1, len(r.group)):] {
+		if u.service == "" {
+			c.cancel(now, u, r.ID, r.attempt)
+		}
+	}
+	if r.Service == "" {
+		c.resident.observe(now-r.sentAt, r.totalTokens())
+	}
+	c.discharge(now, r)
+	c.forget(r)
+}
+
+func (c *Core) stalled(now time.Duration, e Stalled) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil || len(r.group) == 0 || r.phase == phaseCalling {
+		return
+	}
+	r.delivered = max(r.delivered, e.Delivered)
+	r.resumed++
+	leader := r.group[0]
+	if r.resumed > maxResumes || leader.gone {
+		c.attemptFailed(now, AttemptFailed{ID: e.ID, Attempt: e.Attempt, Class: Unknown, Delivered: e.Delivered})
+		return
+	}
+	c.emit(Resume{
+		ID:       r.ID,
+		Attempt:  r.attempt,
+		Upstream: leader.name,
+		Address:  leader.address,
+		Offset:   r.delivered,
+	})
+}
+
+func (c *Core) attemptFailed(now time.Duration, e AttemptFailed) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil {
+		return
+	}
+	r.delivered = max(r.delivered, e.Delivered)
+	c.noteFailure(r.group[0].name, e.Class)
+	c.learnFate(r, e.Class)
+	calling := r.phase == phaseCalling
+	c.abandon(now, r)
+	r.phase = phaseQueued
+	if !c.mayRetry(now, r, e.Class, calling) {
+		c.fail(now, r, c.failureCode(e.Class), 0)
+		return
+	}
+	c.retry(now, r, e.Class)
+}
+
+// learnFate records what the failure of an attempt proves about the request.
+func (c *Core) learnFate(r *request, class Class) {
+	switch class {
+	case Unknown:
+		r.mayHaveRun = true
+	case Failed:
+		r.ran = true
+	case NotRun, NoMemory, Refused:
+	}
+}
+
+func (c *Core) failureCode(class Class) Code {
+	if class == Refused {
+		return CodeClaimed
+	}
+	return CodeUpstream
+}
+
+// mayRetry says whether another attempt is safe, useful and within the budget.
+func (c *Core) mayRetry(now time.Duration, r *request, class Class, calling bool) bool {
+	if class == Refused {
+		return false
+	}
+	proved := class == NotRun || class == NoMemory
+	if calling && r.NeverRepeat && !proved && c.cfg.Policy != PolicyNaive {
+		return false
+	}
+	if now+c.cfg.FinishMargin >= r.Deadline {
+		return false
+	}
+	if class == NoMemory {
+		return true
+	}
+	if r.tries+1 >= c.cfg.MaxAttempts {
+		return false
+	}
+	return c.cfg.Policy == PolicyNaive || c.retries.take()
+}
+
+func (c *Core) retry(now time.Duration, r *request, class Class) {
+	if class != NoMemory {
+		r.tries++
+	}
+	if r.Service != "" {
+		c.call(now, r)
+		return
+	}
+	backoff := retryBackoff
+	if class == NoMemory {
+		backoff = memoryBackoff
+	}
+	c.requeue(now, r, backoff)
+}
+
+// requeue puts a request back, held for a randomised back-off.
+func (c *Core) requeue(now time.Duration, r *request, backoff time.Duration) {
+	r.phase = phaseQueued
+	jitter := time.Duration(c.rng.Int64N(int64(backoff)))
+	r.notBefore = now + backoff + jitter
+	c.queue.insert(r)
+	c.dirty = true
+}
+
+// retryBudget allows retries in proportion to admitted requests.
+type retryBudget struct {
+	tokens float64
+}
+
+func (b *retryBudget) admitted(share, burst float64) {
+	b.tokens = min(burst, b.tokens+share)
+}
+
+func (b *retryBudget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,11 @@
 	Priority int `json:"priority"`
 	// Deadline is when any host may cancel the work.
 	Deadline time.Time `json:"deadline"`
+	// Offset and Delivered continue an answer that another attempt began:
+	// the number of tokens the caller has, and their text. The engine
+	// processes the text behind the prompt and goes on at the offset.
+	Offset    int    `json:"offset,omitempty"`
+	Delivered string `json:"delivered,omitempty"`
 	// Group lists the addresses of all members, the leader first, when the
 	// prompt is spread over several engines whose memory was reserved.
 	Group []string `json:"group,omitempty"`
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -60,7 +60,9 @@
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
 	// Role is "entry", "engine" or "service".
-	Role    string `json:"role"`
+	Role string `json:"role"`
+	// Service names the plain service that an upstream of that role serves.
+	Service string `json:"service,omitempty"`
 	Leaving bool   `json:"leaving"`
 }
 
