--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,121 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	api "github.com/chestnutline/chestnutline/internal/engine"
+	"github.com/chestnutline/chestnutline/internal/httpcall"
+	"github.com/chestnutline/chestnutline/internal/standin/answer"
+	"github.com/chestnutline/chestnutline/internal/standin/engine"
+)
+
+const testTimeout = 30 * time.Second
+
+func start(t *testing.T, change func(*engine.Config)) *engine.Engine {
+	t.Helper()
+	config := engine.DefaultConfig()
+	config.Models = []string{"judge@1"}
+	config.Scale = 20
+	if change != nil {
+		change(&config)
+	}
+	e, err := engine.Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func client(t *testing.T) (*api.HTTPClient, context.Context) {
+	t.Helper()
+	c := api.NewHTTPClient(httpcall.DefaultConfig())
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return c, ctx
+}
+
+func request(n int, prompt string, maxTokens int) api.Request {
+	return api.Request{
+		Work:  api.WorkID{Request: "request-" + strconv.Itoa(n), Attempt: 1},
+		Owner: api.Owner{Host: "host-1", Incarnation: 1}, Model: "judge@1", Prompt: prompt,
+		PromptTokens: max(1, len(prompt)/api.BytesPerToken), MaxTokens: maxTokens,
+		Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// readAll reads a stream to its end and checks every piece.
+func readAll(t *testing.T, s api.Stream, r api.Request, offset int) {
+	t.Helper()
+	defer s.Close()
+	hash := answer.PromptHash(r.Prompt)
+	for {
+		p, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Work != r.Work || p.Offset != offset || !answer.Matches(hash, offset, p.Text) {
+			t.Fatalf("at token %d got piece %+v", offset, p)
+		}
+		offset += p.Tokens
+	}
+	if offset != r.MaxTokens {
+		t.Fatalf("answer has %d tokens, want %d", offset, r.MaxTokens)
+	}
+}
+
+func TestGenerateDeliversTheWholeAnswer(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	r := request(1, "is this comment \"fine\"?\n"+strings.Repeat("long ", 5000), 40)
+	s, err := c.Generate(ctx, e.Address(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, s, r, 0)
+	if got := e.Counters(true); got.Core.Held != 0 || got.Runs[r.Work.Request] != 1 {
+		t.Fatalf("counters after the answer: %+v", got)
+	}
+}
+
+func TestGroupDeliversTheWholeAnswerAndGivesBackMemory(t *testing.T) {
+	var group []string
+	var members []*engine.Engine
+	for range 3 {
+		e := start(t, nil)
+		members = append(members, e)
+		group = append(group, e.Address())
+	}
+	c, ctx := client(t)
+	r := request(2, strings.Repeat("book", 900_000), 20)
+	r.Group = group
+	for _, address := range group {
+		err := c.Reserve(ctx, address, api.Reservation{Work: r.Work, Owner: r.Owner, Tokens: engine.Share(r.PromptTokens, 3) + r.MaxTokens})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := c.Generate(ctx, group[0], r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, s, r, 0)
+	for _, e := range members {
+		if err := c.Cancel(ctx, e.Address(), r.Work); err != nil {
+			t.Fatal(err)
+		}
+		if held := e.Counters(false).Core.Held; held != 0 {
+			t.Fatalf("%s holds %d tokens", e.Name(), held)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/steering.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutline/chestnutline/internal/standin/fault"
+)
+
+func serveFault(c echo.Context, e *Engine) error {
+	var order fault.Order
+	if err := decode(c, &order); err != nil {
+		return err
+	}
+	if err := e.Fault(order); err != nil {
+		return badRequest(err.Error())
+	}
+	return c.JSON(http.StatusOK, empty{})
+}
+
+func serveCounters(c echo.Context, e *Engine) error {
+	return c.JSON(http.StatusOK, e.Counters(c.QueryParam("runs") != ""))
+}
+
+// Steering serves the faults and counters of many engines on one address,
+// which answers also while an engine is dead: GET /counters for all, and
+// POST /engines/{name}/faults and GET /engines/{name}/counters.
+func Steering(engines []*Engine) http.Handler {
+	r := echo.New()
+	r.HideBanner, r.HidePort = true, true
+	r.HTTPErrorHandler = answerError
+	named := func(serve func(echo.Context, *Engine) error) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			for _, e := range engines {
+				if e.Name() == c.Param("name") {
+					return serve(c, e)
+				}
+			}
+			return refusal{http.StatusNotFound, "no_engine", "no such engine"}
+		}
+	}
+	r.POST("/engines/:name"+pathFaults, named(serveFault))
+	r.GET("/engines/:name"+pathCounters, named(serveCounters))
+	r.GET(pathCounters, func(c echo.Context) error {
+		all := make([]Counters, len(engines))
+		for i, e := range engines {
+			all[i] = e.Counters(c.QueryParam("runs") != "")
+		}
+		return c.JSON(http.StatusOK, all)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/standin/fault/listener.go
@@ -0,0 +1,88 @@
+package fault
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener knows its open connections, so that they can be silenced or closed.
+type Listener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewListener wraps a listener.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, conns: make(map[*conn]struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, listener: l}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Silence makes every connection open now lose all that passes either way,
+// and stay open.
+func (l *Listener) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+// CloseConnections closes every connection open now.
+func (l *Listener) CloseConnections() {
+	l.mu.Lock()
+	open := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// conn swallows all traffic once it is silent.
+type conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+}
+
+// Read discards what arrives on a silent connection.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write pretends to send on a silent connection.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close forgets the connection.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
