--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Paths, query parameters and headers of the object API over HTTP.
+//
+//	GET    /object?key=K                          value as the body, its version in VersionHeader
+//	PUT    /object?key=K&base=V                   body is the value; answers the new version in VersionHeader
+//	DELETE /object?key=K&base=V
+//	GET    /objects?prefix=P                      JSON list of Object
+//	GET    /watch?prefix=P&after=V&wait_ms=N      JSON WatchAnswer
+//	GET    /hosts?data_centre=D                   JSON list of Host
+const (
+	PathObject  = "/object"
+	PathObjects = "/objects"
+	PathWatch   = "/watch"
+	PathHosts   = "/hosts"
+
+	// VersionHeader carries an object's version.
+	VersionHeader = "X-Object-Version"
+	// ViewerHeader names the data centre that a call comes from.
+	ViewerHeader = "X-Data-Centre"
+)
+
+// WatchAnswer is the body of an answered watch.
+type WatchAnswer struct {
+	Objects []Object `json:"objects"`
+	// Reached is the version up to which Objects is complete.
+	Reached uint64 `json:"reached"`
+}
+
+// ErrTooLarge says that the value exceeds MaxValueBytes; the call had no effect.
+var ErrTooLarge = errors.New("object value too large")
+
+// statuses pairs each outcome with its HTTP status.
+var statuses = []struct {
+	err    error
+	status int
+}{
+	{ErrNotFound, http.StatusNotFound},
+	{ErrConflict, http.StatusConflict},
+	{ErrThrottled, http.StatusTooManyRequests},
+	{ErrUnavailable, http.StatusServiceUnavailable},
+	{ErrTooLarge, http.StatusRequestEntityTooLarge},
+}
+
+// StatusOf returns the HTTP status for a Store's error, or 0 for an outcome
+// that an answer cannot express.
+func StatusOf(err error) int {
+	if err == nil {
+		return http.StatusOK
+	}
+	for _, s := range statuses {
+		if errors.Is(err, s.err) {
+			return s.status
+		}
+	}
+	return 0
+}
+
+// ErrorOf returns the Store's error for an HTTP status, nil for 200.
+func ErrorOf(status int) error {
+	if status == http.StatusOK {
+		return nil
+	}
+	for _, s := range statuses {
+		if s.status == status {
+			return s.err
+		}
+	}
+	return ErrUnknown
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+// Control paths of the stand-in, which the platform does not have. They are
+// neither limited nor counted.
+//
+//	GET  /stats    JSON Stats
+//	GET  /faults   JSON Faults in force
+//	POST /faults   JSON Faults; replaces all of them
+//	PUT  /hosts    JSON list of HostEntry; replaces the whole list
+const (
+	PathStats  = "/stats"
+	PathFaults = "/faults"
+)
+
+// Server is a Store behind HTTP.
+type Server struct {
+	store *Store
+	echo  *echo.Echo
+}
+
+// New returns a Server with an empty Store.
+func New(config Config) *Server {
+	s := &Server{store: NewStore(config), echo: echo.New()}
+	s.echo.GET(platform.PathObject, s.get)
+	s.echo.PUT(platform.PathObject, s.put)
+	s.echo.DELETE(platform.PathObject, s.delete)
+	s.echo.GET(platform.PathObjects, s.list)
+	s.echo.GET(platform.PathWatch, s.watch)
+	s.echo.GET(platform.PathHosts, s.hosts)
+	s.echo.PUT(platform.PathHosts, s.setHosts)
+	s.echo.GET(PathStats, s.stats)
+	s.echo.GET(PathFaults, s.faults)
+	s.echo.POST(PathFaults, s.setFaults)
+	return s
+}
+
+// Handler serves the object API and the control paths.
+func (s *Server) Handler() http.Handler {
+	return s.echo
+}
+
+// Store returns the Store behind the server, for tests in the same process.
+func (s *Server) Store() *Store {
+	return s.store
+}
+
+// Inspect returns all objects, ordered by key.
+func (s *Server) Inspect() []platform.Object {
+	return s.store.Inspect()
+}
+
+func (s *Server) get(c echo.Context) error {
+	object, err := s.view(c).Get(c.Request().Context(), c.QueryParam("key"))
+	if err != nil {
+		return refuse(c, err)
+	}
+	setVersion(c, object.Version)
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, object.Value)
+}
+
+func (s *Server) put(c echo.Context) error {
+	base, problem := number(c, "base")
+	if problem != nil {
+		return malformed(c, problem)
+	}
+	value, err := io.ReadAll(io.LimitReader(c.Request().Body, platform.MaxValueBytes+1))
+	if err != nil {
+		return refuse(c, platform.ErrUnknown)
+	}
+	if len(value) > platform.MaxValueBytes {
+		return refuse(c, platform.ErrTooLarge)
+	}
+	object, err := s.view(c).Put(c.Request().Context(), c.QueryParam("key"), value, base)
+	if err != nil {
+		return refuse(c, err)
+	}
+	setVersion(c, object.Version)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) delete(c echo.Context) error {
+	base, problem := number(c, "base")
+	if problem != nil {
+		return malformed(c, problem)
+	}
+	if err := s.view(c).Delete(c.Request().Context(), c.QueryParam("key"), base); err != nil {
+		return refuse(c, err)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) list(c echo.Context) error {
+	objects, err := s.view(c).List(c.Request().Context(), c.QueryParam("prefix"))
+	if err != nil {
+		return refuse(c, err)
+	}
+	return c.JSON(http.StatusOK, objects)
+}
+
+func (s *Server) watch(c echo.Context) error {
+	after, problem := number(c, "after")
+	if problem != nil {
+		return malformed(c, problem)
+	}
+	wait, problem := number(c, "wait_ms")
+	if problem != nil {
+		return malformed(c, problem)
+	}
+	objects, reached, err := s.view(c).Watch(c.Request().Context(), c.QueryParam("prefix"), after, milliseconds(int(wait)))
+	if err != nil {
+		return refuse(c, err)
+	}
+	return c.JSON(http.StatusOK, platform.WatchAnswer{Objects: objects, Reached: reached})
+}
+
+func (s *Server) hosts(c echo.Context) error {
+	hosts, err := s.store.From(c.QueryParam("data_centre")).Hosts(c.Request().Context())
+	if err != nil {
+		return refuse(c, err)
+	}
+	return c.JSON(http.StatusOK, hosts)
+}
+
+func (s *Server) setHosts(c echo.Context) error {
+	var hosts []HostEntry
+	if err := json.NewDecoder(c.Request().Body).Decode(&hosts); err != nil {
+		return malformed(c, finding.List{{Place: "body", Problem: "must be a JSON list of hosts"}})
+	}
+	s.store.SetHosts(hosts)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) stats(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.store.Stats())
+}
+
+func (s *Server) faults(c echo.Context) error {
+	s.store.mu.Lock()
+	f := s.store.faults
+	s.store.mu.Unlock()
+	return c.JSON(http.StatusOK, f)
+}
+
+func (s *Server) setFaults(c echo.Context) error {
+	var f Faults
+	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
+		return malformed(c, finding.List{{Place: "body", Problem: "must be JSON faults"}})
+	}
+	if findings := f.Validate(); len(findings) > 0 {
+		return malformed(c, findings)
+	}
+	s.store.SetFaults(f)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) view(c echo.Context) *View {
+	return s.store.From(c.Request().Header.Get(platform.ViewerHeader))
+}
+
+// refuse answers with the error's status. An outcome that no answer can
+// express drops the connection.
+func refuse(c echo.Context, err error) error {
+	status := platform.StatusOf(err)
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return c.String(status, err.Error())
+}
+
+func malformed(c echo.Context, findings finding.List) error {
+	return c.JSON(http.StatusBadRequest, findings.Sorted())
+}
+
+func number(c echo.Context, name string) (uint64, finding.List) {
+	raw := c.QueryParam(name)
+	n, err := strconv.ParseUint(raw, 10, 63)
+	if err != nil {
+		return 0, finding.List{{Place: name, Problem: "must be a whole number, 0 or more"}}
+	}
+	return n, nil
+}
+
+func setVersion(c echo.Context, version uint64) {
+	c.Response().Header().Set(platform.VersionHeader, strconv.FormatUint(version, 10))
+}
