Frame messages between hosts with bounds and versions

Hosts need typed messages over TCP. Lists and strings are decoded by hand with named bounds, because decoding into slices by reflection takes memory by the length claimed instead of the bytes that arrived.

--- /dev/null
+++ b/internal/wire/encode.go
@@ -0,0 +1,109 @@
+package wire
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// encoder writes msgpack and keeps the first error.
+type encoder struct {
+	enc *msgpack.Encoder
+	err error
+}
+
+func encode(w io.Writer, m Message) error {
+	e := &encoder{enc: msgpack.NewEncoder(w)}
+	switch m := m.(type) {
+	case Hello:
+		e.string(m.Address)
+	case Ping, Pong:
+	case Heartbeat:
+		e.heartbeat(m)
+	case SyncRequest:
+		e.string(m.Host)
+		encodeList(e, m.Sections, e.section)
+	case SyncReply:
+		e.string(m.Host)
+		encodeList(e, m.Members, e.member)
+	default:
+		return errors.Wrapf(ErrKind, "encode %T", m)
+	}
+	return errors.Wrapf(e.err, "encode %T", m)
+}
+
+func (e *encoder) heartbeat(h Heartbeat) {
+	e.string(h.Host)
+	e.uint(h.Incarnation)
+	e.uint(uint64(h.Refutation))
+	e.uint(uint64(h.State))
+	e.bool(h.Probe)
+	e.uint(uint64(h.TableHash))
+	e.uint(h.ConfigVersion)
+	encodeList(e, h.Members, e.member)
+	encodeList(e, h.Loads, e.load)
+	encodeList(e, h.Suspected, e.string)
+	encodeList(e, h.Leaving, e.string)
+	encodeList(e, h.Contacts, e.contact)
+}
+
+func (e *encoder) member(m Member) {
+	e.string(m.Host)
+	e.string(m.DataCentre)
+	e.string(m.Address)
+	e.uint(m.Incarnation)
+	e.uint(uint64(m.Refutation))
+	e.uint(uint64(m.State))
+}
+
+func (e *encoder) load(l UpstreamLoad) {
+	e.string(l.Upstream)
+	e.count(l.Requests)
+	e.count(l.PrefillTokens)
+	e.count(l.MemoryTokens)
+}
+
+func (e *encoder) contact(c Contact) {
+	e.string(c.DataCentre)
+	e.uint(uint64(c.AgeMillis))
+}
+
+func (e *encoder) section(s Section) {
+	e.string(s.DataCentre)
+	e.uint(uint64(s.Hash))
+}
+
+func (e *encoder) string(s string) {
+	if e.err == nil {
+		e.err = e.enc.EncodeString(s)
+	}
+}
+
+func (e *encoder) uint(n uint64) {
+	if e.err == nil {
+		e.err = e.enc.EncodeUint(n)
+	}
+}
+
+func (e *encoder) count(n int) {
+	if n < 0 && e.err == nil {
+		e.err = errors.Wrapf(ErrMalformed, "count %d is negative", n)
+	}
+	e.uint(uint64(n))
+}
+
+func (e *encoder) bool(b bool) {
+	if e.err == nil {
+		e.err = e.enc.EncodeBool(b)
+	}
+}
+
+func encodeList[T any](e *encoder, list []T, item func(T)) {
+	if e.err == nil {
+		e.err = e.enc.EncodeArrayLen(len(list))
+	}
+	for _, v := range list {
+		item(v)
+	}
+}
--- /dev/null
+++ b/internal/wire/frame_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"reflect"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+func samples() []Message {
+	member := Member{Host: "lim-a-1", DataCentre: "lim-a", Address: "127.0.0.1:7001", Incarnation: 1764800000000, Refutation: 2, State: Suspect}
+	return []Message{
+		Hello{Address: "127.0.0.1:7001"},
+		Ping{},
+		Pong{},
+		Heartbeat{Host: "lim-a-1", Incarnation: 7, TableHash: 9, ConfigVersion: 11},
+		Heartbeat{
+			Host: "lim-a-1", Incarnation: 1764800000000, Refutation: 1, State: Leaving, Probe: true,
+			TableHash: 1 << 31, ConfigVersion: 1 << 40, Members: []Member{member, member},
+			Loads:     []UpstreamLoad{{Upstream: "engine-17", Requests: 3, PrefillTokens: 900_000, MemoryTokens: 1_000_000}},
+			Suspected: []string{"engine-1"}, Leaving: []string{"engine-2", "engine-3"},
+			Contacts: []Contact{{DataCentre: "lim-b", AgeMillis: 1200}},
+		},
+		SyncRequest{Host: "lim-a-1", Sections: []Section{{DataCentre: "lim-b", Hash: 5}}},
+		SyncReply{Host: "lim-a-1", Members: []Member{member}},
+	}
+}
+
+func frameOf(t testing.TB, m Message) []byte {
+	t.Helper()
+	frame, err := AppendFrame(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
+func TestFramesOnOneStream(t *testing.T) {
+	var stream bytes.Buffer
+	for _, m := range samples() {
+		if err := WriteFrame(&stream, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range samples() {
+		got, err := ReadFrame(&stream)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %#v, %v; want %#v", got, err, want)
+		}
+	}
+	if _, err := ReadFrame(&stream); err != io.EOF {
+		t.Fatalf("at the end: got %v, want io.EOF", err)
+	}
+}
+
+func TestEveryTruncationIsRefused(t *testing.T) {
+	for _, m := range samples() {
+		frame := frameOf(t, m)
+		for n := 1; n < len(frame); n++ {
+			if _, err := ReadFrame(bytes.NewReader(frame[:n])); !errors.Is(err, ErrTruncated) {
+				t.Fatalf("%T cut to %d of %d bytes: got %v, want ErrTruncated", m, n, len(frame), err)
+			}
+		}
+	}
+}
+
+func TestHostileFramesAreRefused(t *testing.T) {
+	heartbeat := frameOf(t, Heartbeat{Host: "h"})
+	cases := []struct {
+		name  string
+		frame []byte
+		want  error
+	}{
+		{"length zero", []byte{0, 0, 0, 0}, ErrFrameSize},
+		{"length beyond the bound", []byte{0, 1, 0, 1, Version, byte(kindPing)}, ErrFrameSize},
+		{"length of four gigabytes", []byte{0xff, 0xff, 0xff, 0xff, Version, byte(kindPing)}, ErrFrameSize},
+		{"unknown version", []byte{0, 0, 0, 2, Version + 1, byte(kindPing)}, ErrVersion},
+		{"unknown kind", []byte{0, 0, 0, 2, Version, 99}, ErrKind},
+		{"bytes left over", []byte{0, 0, 0, 3, Version, byte(kindPing), 0}, ErrMalformed},
+		{"empty heartbeat", []byte{0, 0, 0, 2, Version, byte(kindHeartbeat)}, ErrMalformed},
+		{"huge string", []byte{0, 0, 0, 7, Version, byte(kindHello), 0xdb, 0xff, 0xff, 0xff, 0xff}, ErrMalformed},
+		{"huge list", []byte{0, 0, 0, 8, Version, byte(kindSyncReply), 0xa0, 0xdd, 0xff, 0xff, 0xff, 0xff}, ErrMalformed},
+		{"negative incarnation", replaced(heartbeat, HeaderBytes+2, 0xff), ErrMalformed},
+		{"state out of range", replaced(heartbeat, HeaderBytes+4, 9), ErrMalformed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if m, err := ReadFrame(bytes.NewReader(c.frame)); !errors.Is(err, c.want) {
+				t.Fatalf("got %#v, %v; want %v", m, err, c.want)
+			}
+		})
+	}
+}
+
+func replaced(frame []byte, at int, value byte) []byte {
+	changed := bytes.Clone(frame)
+	changed[at] = value
+	return changed
+}
+
+func TestOversizedMessageIsNotWritten(t *testing.T) {
+	long := make([]Member, MaxFrameBytes)
+	if _, err := AppendFrame(nil, SyncReply{Members: long}); !errors.Is(err, ErrFrameSize) {
+		t.Fatalf("got %v, want ErrFrameSize", err)
+	}
+}
+
+// FuzzReadFrame checks that no input makes ReadFrame fail to return, and that
+// what it accepts survives encoding and decoding again.
+func FuzzReadFrame(f *testing.F) {
+	for _, m := range samples() {
+		f.Add(frameOf(f, m))
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, Version, byte(kindPing)})
+	f.Add([]byte{0, 0, 0, 7, Version, byte(kindHello), 0xdb, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := ReadFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		again, err := ReadFrame(bytes.NewReader(frameOf(t, m)))
+		if err != nil || !reflect.DeepEqual(m, again) {
+			t.Fatalf("accepted %#v, then %#v, %v", m, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,151 @@
+package wire
+
+// Bounds of what a message may hold; a message beyond them is refused.
+const (
+	// MaxNameBytes bounds names of hosts, data centres and upstreams, and addresses.
+	MaxNameBytes = 128
+	// MaxMembers bounds the member entries of one message.
+	MaxMembers = 512
+	// MaxLoads bounds the upstream loads of one heartbeat.
+	MaxLoads = 512
+	// MaxUpstreams bounds each list of upstream names of one heartbeat.
+	MaxUpstreams = 128
+	// MaxDataCentres bounds the data centres of one message.
+	MaxDataCentres = 256
+)
+
+// State is what is believed of a member.
+type State uint8
+
+// States of a member, in the order in which a later one overrides an earlier
+// one of the same incarnation and refutation.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Member is what one host says about a member.
+type Member struct {
+	Host       string
+	DataCentre string
+	// Address is where the member listens for other hosts, as ip:port.
+	Address string
+	// Incarnation identifies one run of the member's process.
+	Incarnation uint64
+	// Refutation rises when the member denies a suspicion or its death.
+	Refutation uint32
+	State      State
+}
+
+// UpstreamLoad is the sender's work in flight on one upstream. Requests 0
+// means none.
+type UpstreamLoad struct {
+	Upstream string
+	Requests int
+	// PrefillTokens is the number of prompt tokens not yet processed.
+	PrefillTokens int
+	// MemoryTokens is the KV memory reserved.
+	MemoryTokens int
+}
+
+// Contact tells when the sender's data centre last heard from another one.
+type Contact struct {
+	DataCentre string
+	// AgeMillis is the time since then, in milliseconds.
+	AgeMillis uint32
+}
+
+// Section is the hash of one data centre's part of the member table.
+type Section struct {
+	DataCentre string
+	Hash       uint32
+}
+
+// Message is one of Hello, Ping, Pong, Heartbeat, SyncRequest and SyncReply.
+type Message interface {
+	kind() kind
+}
+
+type kind byte
+
+const (
+	kindHello kind = iota + 1
+	kindPing
+	kindPong
+	kindHeartbeat
+	kindSyncRequest
+	kindSyncReply
+)
+
+// Hello is the first frame of a connection and tells who dialled.
+type Hello struct {
+	// Address is where the dialling host listens, as ip:port.
+	Address string
+}
+
+// Ping asks the other end of a connection for a Pong.
+type Ping struct{}
+
+// Pong answers a Ping on the same connection.
+type Pong struct{}
+
+// Heartbeat tells that the sender lives and carries its digest.
+type Heartbeat struct {
+	Host        string
+	Incarnation uint64
+	Refutation  uint32
+	State       State
+	// Probe asks for a heartbeat in answer, at once.
+	Probe bool
+	// TableHash covers the sender's table of members that are not dead.
+	TableHash uint32
+	// ConfigVersion is the highest configuration version the sender knows of.
+	ConfigVersion uint64
+	// Members are entries that changed lately.
+	Members []Member
+	// Loads are the sender's loads that changed most since its last heartbeat
+	// to the same host. Empty between data centres.
+	Loads []UpstreamLoad
+	// Suspected and Leaving are the upstreams of which the sender believes so.
+	Suspected []string
+	Leaving   []string
+	// Contacts are the data centres that the sender hears from itself.
+	Contacts []Contact
+}
+
+// SyncRequest asks for the sections of the member table that differ.
+type SyncRequest struct {
+	Host     string
+	Sections []Section
+}
+
+// SyncReply carries every entry of one section.
+type SyncReply struct {
+	Host    string
+	Members []Member
+}
+
+func (Hello) kind() kind       { return kindHello }
+func (Ping) kind() kind        { return kindPing }
+func (Pong) kind() kind        { return kindPong }
+func (Heartbeat) kind() kind   { return kindHeartbeat }
+func (SyncRequest) kind() kind { return kindSyncRequest }
+func (SyncReply) kind() kind   { return kindSyncReply }
