--- /dev/null
+++ b/internal/membership/core.go
@@ -0,0 +1,309 @@
+// Package membership decides which hosts are alive and what they tell each
+// other, without I/O, clock or goroutine.
+//
+// The caller owns a Core and uses it from one goroutine. It passes every input
+// as an event to Step and calls Tick about every 100 ms; now is the time since
+// the process started, on a monotonic clock, and never goes back. Both return
+// effects, which the caller carries out in order. Messages may be lost,
+// repeated or reordered. The same configuration, seed and calls give the same
+// effects.
+//
+// Within a data centre every host keeps to all others: it sends heartbeats
+// with its digest, often to the few hosts that watch it and to the others as
+// the traffic limit allows. A watched host that is silent is probed, then
+// suspected, then dead; a suspect that hears of it denies by raising its
+// refutation. Between data centres a few hosts of each side, chosen by rank,
+// exchange heartbeats and news of their own side. Only a member's own data
+// centre declares it dead; members of one that cannot be reached are shown as
+// suspect.
+package membership
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/wire"
+)
+
+// Core is the state of membership on one host. It is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	rng *rand.Rand
+
+	now      time.Duration
+	ticked   bool
+	stopped  bool
+	self     wire.Member
+	members  map[string]*member
+	names    []string
+	sites    map[string]*site
+	siteList []string
+	topology topology
+	// stale says that topology no longer matches the members.
+	stale bool
+	// unpublished says that a shown account may differ.
+	unpublished bool
+	forgetAt    time.Duration
+	sections    map[string]uint32
+	listed      map[string]Listed
+	listing     []string
+
+	// bulk says that a whole section is being merged, and found what it changed.
+	bulk    bool
+	found   []wire.Member
+	news    map[string]*newsItem
+	pushAt  time.Duration
+	probeAt time.Duration
+	// tables compares the whole table with hosts of the data centre.
+	tables comparison
+	credit float64
+	// meanSize is the moving average of heartbeats within the data centre, in bytes.
+	meanSize float64
+
+	version   uint64
+	loads     map[string]wire.UpstreamLoad
+	loadNames []string
+	suspected []string
+	leaving   []string
+
+	effects []Effect
+}
+
+// New returns a Core that knows only itself. The configuration must be valid.
+func New(cfg Config) (*Core, error) {
+	if err := cfg.Validate().Err(); err != nil {
+		return nil, err
+	}
+	c := &Core{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		members:  make(map[string]*member),
+		sites:    make(map[string]*site),
+		sections: make(map[string]uint32),
+		listed:   make(map[string]Listed),
+		news:     make(map[string]*newsItem),
+		loads:    make(map[string]wire.UpstreamLoad),
+		credit:   float64(cfg.BurstBytes),
+		meanSize: initialMeanSize,
+		stale:    true,
+	}
+	c.self = wire.Member{
+		Host:        cfg.Self.Name,
+		DataCentre:  cfg.Self.DataCentre,
+		Address:     cfg.Self.Address,
+		Incarnation: cfg.Self.Incarnation,
+	}
+	return c, nil
+}
+
+// Self returns this host as the others are told of it.
+func (c *Core) Self() wire.Member {
+	return c.self
+}
+
+// Members returns what is believed of every other host, ordered by name.
+func (c *Core) Members() []wire.Member {
+	list := make([]wire.Member, 0, len(c.names))
+	for _, name := range c.names {
+		m := c.members[name]
+		shown := m.Member
+		shown.State = c.believed(m)
+		list = append(list, shown)
+	}
+	return list
+}
+
+// ConfigVersion returns the highest configuration version heard of.
+func (c *Core) ConfigVersion() uint64 {
+	return c.version
+}
+
+// Step takes one event and returns the effects.
+func (c *Core) Step(now time.Duration, event Event) []Effect {
+	c.advance(now)
+	if c.stopped {
+		return c.take()
+	}
+	switch e := event.(type) {
+	case Received:
+		c.receive(e)
+	case DirectoryListed:
+		c.list(e.Hosts)
+	case LoadsChanged:
+		c.setLoads(e.Loads)
+	case UpstreamsChanged:
+		c.setUpstreams(e)
+	case ConfigurationKnown:
+		c.learnVersion(e.Version)
+	case Leave:
+		c.announce(wire.Leaving)
+	case Stop:
+		c.announce(wire.Dead)
+		c.stopped = true
+	}
+	c.publish()
+	return c.take()
+}
+
+// Tick does what is due and returns the effects.
+func (c *Core) Tick(now time.Duration) []Effect {
+	c.excusePause(now)
+	c.advance(now)
+	if c.stopped {
+		return c.take()
+	}
+	c.detect()
+	c.sendDue()
+	c.bridgeDue()
+	c.probeDue()
+	c.pushDue()
+	c.forget()
+	c.publish()
+	return c.take()
+}
+
+// advance moves the time and earns the right to send.
+func (c *Core) advance(now time.Duration) {
+	if now <= c.now {
+		return
+	}
+	earned := (now - c.now).Seconds() * float64(c.cfg.BytesPerSecond)
+	c.credit = min(c.credit+earned, float64(c.cfg.BurstBytes))
+	c.now = now
+}
+
+// excusePause starts all silence anew when this host was paused itself.
+func (c *Core) excusePause(now time.Duration) {
+	paused := now-c.now > c.cfg.MaxPause
+	if !paused && c.ticked {
+		return
+	}
+	c.ticked = true
+	for _, name := range c.names {
+		m := c.members[name]
+		m.heardAt = now
+		m.probedAt = 0
+		if m.State == wire.Suspect {
+			m.changedAt = now
+		}
+	}
+	for _, name := range c.siteList {
+		c.sites[name].contactAt = now
+	}
+}
+
+func (c *Core) take() []Effect {
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+func (c *Core) emit(e Effect) {
+	c.effects = append(c.effects, e)
+}
+
+// send emits a message and pays for it.
+func (c *Core) send(to string, m wire.Message) {
+	c.credit -= float64(wire.Size(m))
+	c.emit(Send{To: to, Message: m})
+}
+
+// hasCredit tells whether traffic beyond the regular heartbeats may be sent.
+func (c *Core) hasCredit() bool {
+	return c.cfg.BytesPerSecond == 0 || c.credit > 0
+}
+
+// affordsNews tells whether news may be sent. Comparing tables is cheaper when
+// much has changed, so news leaves a part of the credit for that.
+func (c *Core) affordsNews() bool {
+	return c.cfg.BytesPerSecond == 0 || c.credit > newsReserve*float64(c.cfg.BurstBytes)
+}
+
+// announce tells the data centre and the partners elsewhere of this host's own
+// new state, at once.
+func (c *Core) announce(state wire.State) {
+	if c.self.State >= state {
+		return
+	}
+	c.self.State = state
+	c.stale = true
+	delete(c.sections, c.self.DataCentre)
+	c.spread(c.self)
+	c.broadcast()
+	for _, m := range c.links() {
+		c.heartbeat(m, false)
+	}
+}
+
+// broadcast sends a heartbeat to every live host of the data centre.
+func (c *Core) broadcast() {
+	for _, m := range c.peers() {
+		c.heartbeat(m, false)
+	}
+}
+
+func (c *Core) learnVersion(version uint64) {
+	if version <= c.version {
+		return
+	}
+	c.version = version
+	c.push()
+}
+
+func (c *Core) setUpstreams(e UpstreamsChanged) {
+	suspected := boundedNames(e.Suspected)
+	leaving := boundedNames(e.Leaving)
+	if equalNames(suspected, c.suspected) && equalNames(leaving, c.leaving) {
+		return
+	}
+	untold := c.anyUntold(suspected, c.suspected) || c.anyUntold(leaving, c.leaving)
+	c.suspected, c.leaving = suspected, leaving
+	if untold {
+		c.broadcast()
+	}
+}
+
+// anyUntold tells whether a name is new here and no peer's digest has it, so
+// that a sign which all hosts see is not broadcast by all of them.
+func (c *Core) anyUntold(names, before []string) bool {
+	for _, name := range names {
+		if !containsName(before, name) && !c.told(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) told(upstream string) bool {
+	for _, m := range c.peers() {
+		if containsName(m.suspected, upstream) || containsName(m.leaving, upstream) {
+			return true
+		}
+	}
+	return false
+}
+
+func boundedNames(names []string) []string {
+	sorted := append([]string(nil), names...)
+	sort.Strings(sorted)
+	return sorted[:min(len(sorted), wire.MaxUpstreams)]
+}
+
+func equalNames(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// containsName searches a sorted list.
+func containsName(sorted []string, name string) bool {
+	i := sort.SearchStrings(sorted, name)
+	return i < len(sorted) && sorted[i] == name
+}
--- /dev/null
+++ b/internal/membership/experiment/fleet.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/membership"
+	"github.com/chestnutline/chestnutline/internal/wire"
+)
+
+// firstIncarnation is the incarnation of the hosts that start first.
+const firstIncarnation = 1_764_800_000_000
+
+// Fleet is a set of hosts on a network, spread evenly over data centres.
+type Fleet struct {
+	*Network
+	// Listing is the platform's list, which holds all hosts ever added.
+	Listing membership.DirectoryListed
+
+	base membership.Config
+}
+
+// NewFleet starts hosts in data centres. The platform's list holds them all.
+func NewFleet(hosts, dataCentres int, base membership.Config, seed uint64) (*Fleet, error) {
+	f := &Fleet{Network: NewNetwork(seed), base: base}
+	for i := range hosts {
+		f.Listing.Hosts = append(f.Listing.Hosts, listed(i, dataCentres))
+	}
+	for i := range hosts {
+		if _, err := f.Start(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func listed(i, dataCentres int) membership.Listed {
+	return membership.Listed{
+		Name:       fmt.Sprintf("host-%03d", i),
+		DataCentre: fmt.Sprintf("dc-%02d", i%dataCentres),
+		Address:    fmt.Sprintf("127.0.%d.%d:7000", i/250, i%250+1),
+	}
+}
+
+// Start starts the listed host with the index, or starts it again.
+func (f *Fleet) Start(i int) (*Node, error) {
+	l := f.Listing.Hosts[i]
+	cfg := f.base
+	cfg.Self = membership.Host{
+		Name:        l.Name,
+		DataCentre:  l.DataCentre,
+		Address:     l.Address,
+		Incarnation: firstIncarnation + uint64(f.Now()/time.Millisecond),
+	}
+	cfg.Seed = uint64(i) + 1
+	node, err := f.Add(cfg)
+	if err != nil {
+		return nil, err
+	}
+	f.Step(node, f.Listing)
+	return node, nil
+}
+
+// Up returns the nodes that run.
+func (f *Fleet) Up() []*Node {
+	var up []*Node
+	for _, node := range f.Nodes() {
+		if !node.Down {
+			up = append(up, node)
+		}
+	}
+	return up
+}
+
+// Agree tells whether every running node shows exactly the running nodes as
+// alive and knows no other that is not dead.
+func (f *Fleet) Agree() bool {
+	up := f.Up()
+	running := make(map[string]uint64, len(up))
+	for _, node := range up {
+		running[node.Host.Name] = node.Core.Self().Incarnation
+	}
+	for _, node := range up {
+		if !agrees(node, running) {
+			return false
+		}
+	}
+	return true
+}
+
+func agrees(node *Node, running map[string]uint64) bool {
+	alive := 1
+	for _, m := range node.Core.Members() {
+		switch {
+		case m.State == wire.Dead:
+		case m.State != wire.Alive || running[m.Host] != m.Incarnation:
+			return false
+		default:
+			alive++
+		}
+	}
+	return alive == len(running)
+}
+
+// Shown returns how many running nodes satisfy the condition on what they
+// believe of a host, and how many there are.
+func (f *Fleet) Shown(host, dataCentre string, condition func(wire.State) bool) (holds, all int) {
+	for _, node := range f.Up() {
+		if node.Host.Name == host || (dataCentre != "" && node.Host.DataCentre != dataCentre) {
+			continue
+		}
+		all++
+		if condition(believed(node, host)) {
+			holds++
+		}
+	}
+	return holds, all
+}
+
+// believed returns a node's state for a host; one it does not know counts as dead.
+func believed(node *Node, host string) wire.State {
+	for _, m := range node.Core.Members() {
+		if m.Host == host {
+			return m.State
+		}
+	}
+	return wire.Dead
+}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -100,6 +100,15 @@
 	return changed
 }
 
+func TestSizeIsTheFrameLength(t *testing.T) {
+	long := Heartbeat{Host: string(make([]byte, 40)), Members: make([]Member, 20), ConfigVersion: 300, TableHash: 200}
+	for _, m := range append(samples(), long) {
+		if got, want := Size(m), len(frameOf(t, m)); got != want {
+			t.Errorf("%T: got %d bytes, want %d", m, got, want)
+		}
+	}
+}
+
 func TestOversizedMessageIsNotWritten(t *testing.T) {
 	long := make([]Member, MaxFrameBytes)
 	if _, err := AppendFrame(nil, SyncReply{Members: long}); !errors.Is(err, ErrFrameSize) {
