--- /dev/null
+++ b/cmd/chestnut-standin/main.go
@@ -0,0 +1,83 @@
+// Command chestnut-standin runs stand-ins of the upstreams and the platform
+// for demonstrations and tests: many engines or services in one process, or
+// the platform's object API.
+//
+// Exit codes: 0 after a clean stop, 1 when running failed, 2 for bad flags,
+// variables or arguments.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/integrii/flaggy"
+	"github.com/oklog/run"
+
+	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/settings"
+)
+
+// version is set by the linker.
+var version = "development"
+
+const exitFailed = 1
+
+// command is one subcommand.
+type command struct {
+	sub     *flaggy.Subcommand
+	binding *settings.Binding
+	run     func(log.Interface, *run.Group) error
+}
+
+func main() {
+	os.Exit(start(os.Args[1:]))
+}
+
+func start(args []string) int {
+	p := settings.NewParser("chestnut-standin", "Runs stand-ins of engines, services or the platform on loopback addresses.", version)
+	p.ShowHelpOnUnexpected = true
+	p.AdditionalHelpAppend = "\nExit codes: 0 clean stop, 1 running failed, 2 bad flags, variables or arguments."
+	commands := []command{enginesCommand(), servicesCommand(), platformCommand()}
+	for _, c := range commands {
+		p.AttachSubcommand(c.sub, 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return usage(finding.List{{Place: "arguments", Problem: err.Error()}})
+	}
+	for _, c := range commands {
+		if c.sub.Used {
+			return c.start()
+		}
+	}
+	return usage(finding.List{{Place: "arguments", Problem: "name a subcommand: engines, services or platform; --help shows them"}})
+}
+
+func usage(findings finding.List) int {
+	for _, f := range findings {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	return settings.ExitUsage
+}
+
+func (c command) start() int {
+	if findings := c.binding.Resolve(settings.Environ()); len(findings) > 0 {
+		return usage(findings)
+	}
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	var group run.Group
+	group.Add(stopOnSignal())
+	if err := c.run(logger, &group); err != nil {
+		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
+		return exitFailed
+	}
+	err := group.Run()
+	if isSignal(err) {
+		logevent.ProcessStopped.Emit(logger, nil)
+		return 0
+	}
+	logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/chestnut-standin/services.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/integrii/flaggy"
+	"github.com/oklog/run"
+
+	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/settings"
+	"github.com/chestnutline/chestnutline/internal/standin/service"
+)
+
+// serviceSettings are the flags of the subcommand services.
+type serviceSettings struct {
+	Count      int           `env:"CHESTNUT_SERVICE_COUNT" flag:"count" default:"1" help:"number of services"`
+	Service    string        `env:"CHESTNUT_SERVICE" flag:"service" default:"case-record" help:"what they are: case-record or order-app"`
+	IP         string        `env:"CHESTNUT_SERVICE_IP" flag:"ip" default:"127.0.0.1" help:"loopback address of all services"`
+	BasePort   int           `env:"CHESTNUT_SERVICE_BASE_PORT" flag:"base-port" default:"9400" help:"port of the first service; the others follow"`
+	Control    string        `env:"CHESTNUT_SERVICE_CONTROL" flag:"control" default:"127.0.0.1:9390" help:"address for faults and counters (ip:port)"`
+	DataCentre string        `env:"CHESTNUT_DATA_CENTRE" flag:"data-centre" default:"" help:"data centre, part of the services' names"`
+	LookupTime time.Duration `env:"CHESTNUT_SERVICE_LOOKUP_TIME" flag:"lookup-time" default:"5ms" help:"time of a repeatable call"`
+	ActionTime time.Duration `env:"CHESTNUT_SERVICE_ACTION_TIME" flag:"action-time" default:"20ms" help:"time of an action"`
+	Scale      float64       `env:"CHESTNUT_SERVICE_SCALE" flag:"scale" default:"1" help:"divides all simulated times"`
+}
+
+// Validate implements settings.Validator.
+func (s *serviceSettings) Validate() finding.List {
+	var findings finding.List
+	checkPorts(&findings, s.Count, s.BasePort)
+	checkLoopbackIP(&findings, "--ip", s.IP)
+	checkLoopback(&findings, "--control", s.Control)
+	return append(findings, placed(s.config(0).Validate(), serviceFlags)...)
+}
+
+// serviceFlags names the flag that sets each checked field.
+var serviceFlags = map[string]string{
+	"Service": "--service", "LookupTime": "--lookup-time", "ActionTime": "--action-time", "Scale": "--scale",
+}
+
+func (s *serviceSettings) config(i int) service.Config {
+	name, address := nth(s.Service, s.DataCentre, s.IP, s.BasePort, i)
+	return service.Config{
+		Name: name, Service: s.Service, Address: address,
+		LookupTime: s.LookupTime, ActionTime: s.ActionTime, Scale: s.Scale,
+	}
+}
+
+func servicesCommand() command {
+	s := &serviceSettings{}
+	sub := flaggy.NewSubcommand("services")
+	sub.Description = "runs stand-in services"
+	return command{sub: sub, binding: settings.Bind(sub, s), run: s.run}
+}
+
+func (s *serviceSettings) run(logger log.Interface, group *run.Group) error {
+	services := make([]*service.Service, 0, s.Count)
+	closeAll := func() {
+		for _, one := range services {
+			one.Close()
+		}
+	}
+	for i := range s.Count {
+		config := s.config(i)
+		config.Log = logger
+		one, err := service.Start(config)
+		if err != nil {
+			closeAll()
+			return err
+		}
+		services = append(services, one)
+	}
+	control, err := serve(group, s.Control, service.Steering(services))
+	if err != nil {
+		closeAll()
+		return err
+	}
+	closeAtEnd(group, closeAll)
+	logevent.StandinsStarted.Emit(logger, log.Fields{
+		"role": s.Service, "count": s.Count, "first": services[0].Address(), "control": control, "data_centre": s.DataCentre,
+	})
+	return nil
+}
--- a/internal/standin/batch/config.go
+++ b/internal/standin/batch/config.go
@@ -83,8 +83,11 @@
 	if c.EventLoss < 0 || c.EventLoss > 1 {
 		l.Add("EventLoss", "must be from 0 to 1")
 	}
-	if c.KeepFinished < 0 || c.EventDelay < 0 {
-		l.Add("KeepFinished, EventDelay", "must not be negative")
+	if c.KeepFinished < 0 {
+		l.Add("KeepFinished", "must not be negative")
+	}
+	if c.EventDelay < 0 {
+		l.Add("EventDelay", "must not be negative")
 	}
 	return l
 }
--- a/internal/standin/service/config.go
+++ b/internal/standin/service/config.go
@@ -53,8 +53,11 @@
 	if _, _, err := net.SplitHostPort(c.Address); err != nil {
 		l.Add("Address", "must be ip:port")
 	}
-	if c.LookupTime < 0 || c.ActionTime < 0 {
-		l.Add("LookupTime, ActionTime", "must not be negative")
+	if c.LookupTime < 0 {
+		l.Add("LookupTime", "must not be negative")
+	}
+	if c.ActionTime < 0 {
+		l.Add("ActionTime", "must not be negative")
 	}
 	if c.Scale <= 0 {
 		l.Add("Scale", "must be above 0")
