--- /dev/null
+++ b/internal/dispatch/dump.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+)
+
+// Dump is a snapshot of the core for operators.
+type Dump struct {
+	Policy    Policy         `json:"policy"`
+	Draining  bool           `json:"draining"`
+	InFlight  int            `json:"in_flight"`
+	Queued    int            `json:"queued"`
+	Cancels   int            `json:"cancels_pending"`
+	LongShare float64        `json:"long_share"`
+	WaitBias  float64        `json:"wait_bias"`
+	Upstreams []UpstreamDump `json:"upstreams"`
+	Requests  []RequestDump  `json:"requests"`
+	// Omitted counts requests and upstreams beyond the bound.
+	Omitted int `json:"omitted"`
+}
+
+// UpstreamDump is what the host believes of one upstream.
+type UpstreamDump struct {
+	Name          string   `json:"name"`
+	Address       string   `json:"address"`
+	DataCentre    string   `json:"data_centre"`
+	Service       string   `json:"service,omitempty"`
+	Usable        bool     `json:"usable"`
+	Leaving       bool     `json:"leaving"`
+	Failures      int      `json:"failures"`
+	ReportAgeMs   int64    `json:"report_age_ms"`
+	Models        []string `json:"models,omitempty"`
+	OwnRequests   int      `json:"own_requests"`
+	BacklogTokens int      `json:"backlog_tokens"`
+	MemoryUsed    int      `json:"memory_used_tokens"`
+	MemoryTotal   int      `json:"memory_total_tokens"`
+}
+
+// RequestDump is one request in flight.
+type RequestDump struct {
+	ID           string   `json:"id"`
+	Organisation string   `json:"organisation"`
+	Kind         string   `json:"kind"`
+	Phase        string   `json:"phase"`
+	Attempt      uint32   `json:"attempt"`
+	PromptTokens int      `json:"prompt_tokens"`
+	RemainingMs  int64    `json:"remaining_ms"`
+	Upstreams    []string `json:"upstreams,omitempty"`
+}
+
+// Dump returns a snapshot with at most limit upstreams and limit requests,
+// those with the nearest deadlines first.
+func (c *Core) Dump(now time.Duration, limit int) Dump {
+	d := Dump{
+		Policy:    c.cfg.Policy,
+		Draining:  c.draining,
+		InFlight:  len(c.requests),
+		Queued:    len(c.queue.items),
+		Cancels:   c.cancels.len(),
+		LongShare: c.mix.longShare(),
+		WaitBias:  c.waits.factor(),
+	}
+	c.dumpUpstreams(now, limit, &d)
+	c.dumpRequests(now, limit, &d)
+	return d
+}
+
+func (c *Core) dumpUpstreams(now time.Duration, limit int, d *Dump) {
+	for _, list := range [][]*upstream{c.engines, c.services} {
+		for _, u := range list {
+			if len(d.Upstreams) == limit {
+				d.Omitted++
+				continue
+			}
+			d.Upstreams = append(d.Upstreams, c.dumpUpstream(now, u))
+		}
+	}
+}
+
+func (c *Core) dumpUpstream(now time.Duration, u *upstream) UpstreamDump {
+	return UpstreamDump{
+		Name:          u.name,
+		Address:       u.address,
+		DataCentre:    u.dataCentre,
+		Service:       u.service,
+		Usable:        u.usable(),
+		Leaving:       u.leaving,
+		Failures:      u.failures,
+		ReportAgeMs:   (now - u.report.Sent).Milliseconds(),
+		Models:        u.models,
+		OwnRequests:   u.requests,
+		BacklogTokens: u.backlog(now),
+		MemoryUsed:    u.memoryUsed(),
+		MemoryTotal:   u.memoryTotal(&c.cfg),
+	}
+}
+
+func (c *Core) dumpRequests(now time.Duration, limit int, d *Dump) {
+	all := append([]*request(nil), c.deadlines...)
+	sort.Slice(all, func(i, j int) bool { return deadlineHeap(all).Less(i, j) })
+	for i, r := range all {
+		if i == limit {
+			d.Omitted += len(all) - limit
+			return
+		}
+		rd := RequestDump{
+			ID:           r.ID,
+			Organisation: r.Organisation,
+			Kind:         r.Kind,
+			Phase:        r.phase.String(),
+			Attempt:      r.attempt,
+			PromptTokens: r.PromptTokens,
+			RemainingMs:  (r.Deadline - now).Milliseconds(),
+		}
+		for _, u := range r.group {
+			rd.Upstreams = append(rd.Upstreams, u.name)
+		}
+		d.Requests = append(d.Requests, rd)
+	}
+}
--- /dev/null
+++ b/internal/host/settings.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/dispatch"
+	"github.com/chestnutline/chestnutline/internal/finding"
+)
+
+// Settings of a router process.
+type Settings struct {
+	Host           string        `env:"CHESTNUT_HOST" flag:"host" help:"name of this host, unique in the system"`
+	DataCentre     string        `env:"CHESTNUT_DATA_CENTRE" flag:"data-centre" help:"data centre of this host"`
+	Listen         string        `env:"CHESTNUT_LISTEN" flag:"listen" default:"127.0.0.1:8080" help:"address for callers (ip:port)"`
+	Admin          string        `env:"CHESTNUT_ADMIN" flag:"admin" default:"127.0.0.1:8081" help:"address for operators (ip:port)"`
+	Peer           string        `env:"CHESTNUT_PEER" flag:"peer" default:"127.0.0.1:8082" help:"address for other hosts (ip:port), as listed by the platform"`
+	Platform       string        `env:"CHESTNUT_PLATFORM" flag:"platform" help:"base URL of the platform's object API"`
+	Policy         string        `env:"CHESTNUT_POLICY" flag:"policy" default:"default" help:"placement policy: default, or naive for comparisons"`
+	Seed           uint64        `env:"CHESTNUT_SEED" flag:"seed" default:"0" help:"seed of the policies' random choices; 0 draws one"`
+	ListInterval   time.Duration `env:"CHESTNUT_LIST_INTERVAL" flag:"list-interval" default:"1s" help:"time between two reads of the platform's list of hosts"`
+	DrainLimit     time.Duration `env:"CHESTNUT_DRAIN_LIMIT" flag:"drain-limit" default:"10m" help:"longest time that a stopping host waits for requests in flight"`
+	MaxConnections int           `env:"CHESTNUT_MAX_CONNECTIONS" flag:"max-connections" default:"10000" help:"most open connections of callers"`
+	JournalSize    int           `env:"CHESTNUT_JOURNAL_SIZE" flag:"journal-size" default:"5000" help:"requests whose account is kept"`
+	LogLevel       string        `env:"CHESTNUT_LOG_LEVEL" flag:"log-level" default:"info" help:"least level logged: debug, info, warn or error"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() finding.List {
+	var l finding.List
+	if s.Host == "" {
+		l.Add("--host", "is missing; name this host")
+	}
+	if s.DataCentre == "" {
+		l.Add("--data-centre", "is missing; name the data centre")
+	}
+	checkAddress(&l, "--listen", s.Listen)
+	checkAddress(&l, "--admin", s.Admin)
+	checkAddress(&l, "--peer", s.Peer)
+	checkURL(&l, "--platform", s.Platform)
+	if p := dispatch.Policy(s.Policy); p != dispatch.PolicyDefault && p != dispatch.PolicyNaive {
+		l.Add("--policy", "must be default or naive, not "+s.Policy)
+	}
+	if s.ListInterval < minListInterval {
+		l.Add("--list-interval", "must be at least "+minListInterval.String())
+	}
+	if s.DrainLimit <= 0 {
+		l.Add("--drain-limit", "must be above 0")
+	}
+	if s.MaxConnections < 1 {
+		l.Add("--max-connections", "must be at least 1")
+	}
+	if s.JournalSize < 1 {
+		l.Add("--journal-size", "must be at least 1")
+	}
+	return l
+}
+
+// minListInterval keeps the hosts within the platform's read rate.
+const minListInterval = 100 * time.Millisecond
+
+func checkAddress(l *finding.List, place, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		l.Add(place, "must be ip:port: "+err.Error())
+	}
+}
+
+func checkURL(l *finding.List, place, text string) {
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		l.Add(place, "must be a URL such as http://10.0.0.1:7000, not \""+text+"\"")
+	}
+}
--- /dev/null
+++ b/internal/traffic/guard.go
@@ -0,0 +1,47 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/dispatch"
+)
+
+// Action names one action that may not be repeated.
+type Action struct {
+	Organisation string
+	Kind         string
+	Key          string
+	// Fingerprint identifies the request's body; the same key with another
+	// body is a conflict.
+	Fingerprint uint64
+	// Request and Deadline are of the request that wants to carry it out.
+	Request  string
+	Deadline time.Time
+}
+
+// Permit is the decision on an action.
+type Permit struct {
+	// Run says that the caller, and no one else, may carry the action out.
+	Run bool
+	// Token identifies the claim to Complete and GiveBack.
+	Token string
+	// Recorded is the answer of the earlier request that carried it out.
+	Recorded *ServiceAnswer
+	// Code, Outcome, Detail and RetryAfter tell why it may not run, where
+	// there is no recorded answer.
+	Code       dispatch.Code
+	Outcome    dispatch.Outcome
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Guard makes sure that an action is carried out at most once over all hosts.
+type Guard interface {
+	// Claim makes the claim durable before anything is sent upstream.
+	Claim(ctx context.Context, a Action) Permit
+	// Complete records the action's answer, nil when it is not known.
+	Complete(ctx context.Context, a Action, token string, answer *ServiceAnswer)
+	// GiveBack frees the key; only with proof that the action was not run.
+	GiveBack(ctx context.Context, a Action, token string)
+}
--- /dev/null
+++ b/internal/traffic/stream.go
@@ -0,0 +1,149 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/dispatch"
+	"github.com/chestnutline/chestnutline/internal/engine"
+)
+
+// Reasons with which an engine ends a stream.
+const (
+	finishStop   = "stop"
+	finishLength = "length"
+)
+
+// stream is the traffic of one attempt on one connection.
+type stream struct {
+	executor *Executor
+	exchange *Exchange
+	attempt  uint32
+	ctx      context.Context
+	// first is the timeout for the first piece, silence that between pieces.
+	first   time.Duration
+	silence time.Duration
+}
+
+// send starts an attempt and reads its answer.
+func (e *Executor) send(f dispatch.Send) {
+	x := e.exchange(f.ID)
+	if x == nil {
+		return
+	}
+	ctx, ok := x.begin(f.Attempt)
+	if !ok {
+		return
+	}
+	s := stream{executor: e, exchange: x, attempt: f.Attempt, ctx: ctx, first: f.FirstTokenTimeout, silence: e.cfg.SilenceTimeout}
+	s.run(func(ctx context.Context) (engine.Stream, error) {
+		return e.engines.Generate(ctx, f.Group[0].Address, e.request(x, f))
+	})
+}
+
+func (e *Executor) request(x *Exchange, f dispatch.Send) engine.Request {
+	r := *x.Request
+	r.Work = engine.WorkID{Request: f.ID, Attempt: f.Attempt}
+	r.Owner = e.cfg.Owner
+	r.Priority = int(e.clock.Wall(f.Priority).UnixMilli())
+	r.Deadline = x.Deadline
+	r.Offset, r.Delivered = x.position()
+	if len(f.Group) > 1 {
+		r.Group = make([]string, len(f.Group))
+		for i, m := range f.Group {
+			r.Group[i] = m.Address
+		}
+	}
+	return r
+}
+
+// resume continues an attempt's answer on a new connection.
+func (e *Executor) resume(f dispatch.Resume) {
+	x := e.exchange(f.ID)
+	if x == nil {
+		return
+	}
+	ctx, ok := x.begin(f.Attempt)
+	if !ok {
+		return
+	}
+	offset, _ := x.position()
+	s := stream{executor: e, exchange: x, attempt: f.Attempt, ctx: ctx, first: e.cfg.SilenceTimeout, silence: e.cfg.SilenceTimeout}
+	s.run(func(ctx context.Context) (engine.Stream, error) {
+		return e.engines.Resume(ctx, f.Address, engine.WorkID{Request: f.ID, Attempt: f.Attempt}, offset)
+	})
+}
+
+// run opens the stream, delivers its pieces, and reports the attempt's end
+// unless the attempt was dropped meanwhile.
+func (s *stream) run(open func(context.Context) (engine.Stream, error)) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	watch := newWatchdog(s.first, cancel)
+	defer watch.stop()
+	source, err := open(ctx)
+	if err == nil {
+		defer source.Close()
+		err = s.deliver(source, watch)
+	}
+	s.conclude(err, watch)
+}
+
+// errGap says that pieces of the stream are missing.
+var errGap = errors.New("stream has a gap")
+
+// deliver passes pieces on until the last one; nil means the answer is whole.
+func (s *stream) deliver(source engine.Stream, watch *watchdog) error {
+	for {
+		p, err := source.Next()
+		if errors.Is(err, io.EOF) {
+			return errors.Wrap(engine.ErrUnknown, "stream ended without a last piece")
+		}
+		if err != nil {
+			return err
+		}
+		watch.reset(s.silence)
+		before, _ := s.exchange.position()
+		switch s.exchange.accept(s.attempt, p) {
+		case gap:
+			return errGap
+		case stale:
+			continue
+		case accepted:
+		}
+		if before == 0 && p.Tokens > 0 {
+			s.executor.report(dispatch.FirstToken{ID: s.exchange.ID, Attempt: s.attempt})
+		}
+		if p.Finish != "" {
+			return finishError(p.Finish)
+		}
+	}
+}
+
+func finishError(finish string) error {
+	if finish == finishStop || finish == finishLength {
+		return nil
+	}
+	return errors.Wrapf(engine.ErrFailed, "engine ended the answer with %q", finish)
+}
+
+// conclude reports how the attempt ended.
+func (s *stream) conclude(err error, watch *watchdog) {
+	if s.ctx.Err() != nil {
+		// Dropped, or past its time limit: the core has settled it.
+		return
+	}
+	tokens, _ := s.exchange.position()
+	id := s.exchange.ID
+	switch {
+	case err == nil:
+		s.executor.report(dispatch.Finished{ID: id, Attempt: s.attempt, Tokens: tokens})
+	case watch.barked() || errors.Is(err, errGap):
+		s.executor.report(dispatch.Stalled{ID: id, Attempt: s.attempt, Delivered: tokens})
+	default:
+		s.executor.report(dispatch.AttemptFailed{ID: id, Attempt: s.attempt, Class: engineClass(err), Delivered: tokens})
+	}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -44,6 +44,8 @@
 		return SyncRequest{Host: d.string(), Sections: decodeList(d, MaxDataCentres, d.section)}
 	case kindSyncReply:
 		return SyncReply{Host: d.string(), Members: decodeList(d, MaxMembers, d.member)}
+	case kindCarried:
+		return Carried{Host: d.string(), Topic: Topic(d.uint(math.MaxUint8)), Body: d.bytes(MaxBodyBytes)}
 	default:
 		return nil
 	}
@@ -95,21 +97,25 @@
 }
 
 func (d *decoder) string() string {
+	return string(d.bytes(MaxNameBytes))
+}
+
+func (d *decoder) bytes(most int) []byte {
 	if d.err != nil {
-		return ""
+		return nil
 	}
 	n, err := d.dec.DecodeBytesLen()
 	if err != nil {
 		d.err = err
-		return ""
+		return nil
 	}
-	if n < 0 || n > MaxNameBytes {
-		d.err = errors.Errorf("string of %d bytes, at most %d accepted", n, MaxNameBytes)
-		return ""
+	if n < 0 || n > most {
+		d.err = errors.Errorf("%d bytes, at most %d accepted", n, most)
+		return nil
 	}
 	b := make([]byte, n)
 	d.err = d.dec.ReadFull(b)
-	return string(b)
+	return b
 }
 
 // uint reads a number from 0 to most. A signed code is read as a signed
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -27,6 +27,10 @@
 	case SyncReply:
 		e.string(m.Host)
 		encodeList(e, m.Members, e.member)
+	case Carried:
+		e.string(m.Host)
+		e.uint(uint64(m.Topic))
+		e.bytes(m.Body)
 	default:
 		return errors.Wrapf(ErrKind, "encode %T", m)
 	}
@@ -80,6 +84,15 @@
 	}
 }
 
+func (e *encoder) bytes(b []byte) {
+	if len(b) > MaxBodyBytes && e.err == nil {
+		e.err = errors.Wrapf(ErrMalformed, "body of %d bytes, at most %d accepted", len(b), MaxBodyBytes)
+	}
+	if e.err == nil {
+		e.err = e.enc.EncodeBytes(b)
+	}
+}
+
 func (e *encoder) uint(n uint64) {
 	if e.err == nil {
 		e.err = e.enc.EncodeUint(n)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -10,6 +10,8 @@
 	MaxLoads = 512
 	// MaxUpstreams bounds each list of upstream names of one heartbeat.
 	MaxUpstreams = 128
+	// MaxBodyBytes bounds the body of a Carried message.
+	MaxBodyBytes = 60 << 10
 	// MaxDataCentres bounds the data centres of one message.
 	MaxDataCentres = 256
 )
@@ -93,6 +95,7 @@
 	kindHeartbeat
 	kindSyncRequest
 	kindSyncReply
+	kindCarried
 )
 
 // Hello is the first frame of a connection and tells who dialled.
@@ -143,9 +146,20 @@
 	Members []Member
 }
 
+// Topic tells what a Carried message is about.
+type Topic byte
+
+// Carried transports a message that this package does not interpret.
+type Carried struct {
+	Host  string
+	Topic Topic
+	Body  []byte
+}
+
 func (Hello) kind() kind       { return kindHello }
 func (Ping) kind() kind        { return kindPing }
 func (Pong) kind() kind        { return kindPong }
 func (Heartbeat) kind() kind   { return kindHeartbeat }
 func (SyncRequest) kind() kind { return kindSyncRequest }
 func (SyncReply) kind() kind   { return kindSyncReply }
+func (Carried) kind() kind     { return kindCarried }
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -12,6 +12,8 @@
 		size += heartbeatSize(m)
 	case SyncRequest:
 		size += stringSize(m.Host) + listSize(m.Sections, sectionSize)
+	case Carried:
+		size += stringSize(m.Host) + uintSize(uint64(m.Topic)) + stringSize(string(m.Body))
 	case SyncReply:
 		size += stringSize(m.Host) + listSize(m.Members, memberSize)
 	}
