--- a/internal/callers/problem.go
+++ b/internal/callers/problem.go
@@ -47,14 +47,14 @@
 }
 
 var shapes = map[dispatch.Code]shape{
-	codeBadRequest:           {http.StatusBadRequest, "The request is not valid."},
-	codeNotKnown:             {http.StatusNotFound, "The request names something that does not exist."},
-	codeTooBig:               {http.StatusRequestEntityTooLarge, "The body is too large."},
-	codeNotReady:             {http.StatusServiceUnavailable, "No configuration is known yet."},
-	codeInterrupted:          {http.StatusBadRequest, "The body could not be read."},
-	dispatch.CodeNoUpstream:  {http.StatusServiceUnavailable, "No upstream can take the request."},
-	dispatch.CodeOverloaded:  {http.StatusTooManyRequests, "The request could not finish within its time limit."},
-	dispatch.CodeOverShare:   {http.StatusTooManyRequests, "The organisation has too many requests in flight."},
+	codeBadRequest:          {http.StatusBadRequest, "The request is not valid."},
+	codeNotKnown:            {http.StatusNotFound, "The request names something that does not exist."},
+	codeTooBig:              {http.StatusRequestEntityTooLarge, "The body is too large."},
+	codeNotReady:            {http.StatusServiceUnavailable, "No configuration is known yet."},
+	codeInterrupted:         {http.StatusBadRequest, "The body could not be read."},
+	dispatch.CodeNoUpstream: {http.StatusServiceUnavailable, "No upstream can take the request."},
+	dispatch.CodeOverloaded: {http.StatusTooManyRequests, "The request could not finish within its time limit."},
+	dispatch.CodeOverShare:  {http.StatusTooManyRequests, "The organisation has too many requests in flight."},
 	dispatch.CodeLimitTooTight: {
 		http.StatusUnprocessableEntity, "The time limit is shorter than the request takes alone.",
 	},
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,12 +21,14 @@
 	"github.com/chestnutline/chestnutline/internal/httpcall"
 	"github.com/chestnutline/chestnutline/internal/journal"
 	"github.com/chestnutline/chestnutline/internal/membership"
+	"github.com/chestnutline/chestnutline/internal/peer"
 	"github.com/chestnutline/chestnutline/internal/platform"
 	"github.com/chestnutline/chestnutline/internal/probe"
 	"github.com/chestnutline/chestnutline/internal/router"
 	"github.com/chestnutline/chestnutline/internal/service"
 	"github.com/chestnutline/chestnutline/internal/telemetry"
 	"github.com/chestnutline/chestnutline/internal/traffic"
+	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
 const (
@@ -48,7 +51,7 @@
 	executor *traffic.Executor
 	prober   *probe.Prober
 	source   *source.Source
-	peers    Peers
+	peers    *peer.Transport
 	store    *platform.Client
 	engines  *engine.HTTPClient
 	services *service.HTTPClient
@@ -95,7 +98,7 @@
 	p.loop = NewLoop(core, p.clock, dispatch.DefaultConfig().TickInterval, p.execute)
 	p.source = source.New(p.store, func(e configuration.Event) { p.loop.Post(router.Configured{Event: e}) })
 	p.assembleTraffic()
-	return p, nil
+	return p, p.assemblePeers()
 }
 
 func (p *Process) coreConfig() router.Config {
@@ -139,6 +142,13 @@
 	p.admin = admin.NewServer(p, p.metrics, p.journal)
 }
 
+func (p *Process) assemblePeers() error {
+	received := func(from string, m wire.Message) { p.loop.Post(router.PeerReceived{From: from, Message: m}) }
+	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), &net.Dialer{}, received, p.log)
+	p.peers = transport
+	return errors.Wrap(err, "assemble the transport between hosts")
+}
+
 // guard returns what keeps actions from being repeated; the naive policy has none.
 func (p *Process) guard() traffic.Guard {
 	return nil
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -14,15 +14,8 @@
 
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/router"
-	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// Peers carries messages to other hosts.
-type Peers interface {
-	// Send hands a message over without blocking; it may be lost.
-	Send(to string, m wire.Message)
-}
-
 // AddTo adds the process's actors to a group, which runs them until one ends.
 func (p *Process) AddTo(g *run.Group) error {
 	listeners, err := p.listen()
@@ -43,6 +36,7 @@
 type listeners struct {
 	callers net.Listener
 	admin   net.Listener
+	peers   net.Listener
 }
 
 func (p *Process) listen() (listeners, error) {
@@ -54,6 +48,9 @@
 	if l.admin, err = net.Listen("tcp", p.settings.Admin); err != nil {
 		return l, errors.Wrap(err, "listen for operators (--admin)")
 	}
+	if l.peers, err = net.Listen("tcp", p.settings.Peer); err != nil {
+		return l, errors.Wrap(err, "listen for other hosts (--peer)")
+	}
 	return l, nil
 }
 
@@ -74,6 +71,7 @@
 func (p *Process) addServers(g *run.Group, l listeners) {
 	g.Add(func() error { return p.callers.Serve(l.callers) }, func(error) { _ = p.callers.Close() })
 	g.Add(func() error { return p.admin.Serve(l.admin) }, func(error) { _ = p.admin.Close() })
+	g.Add(func() error { return p.peers.Serve(l.peers) }, func(error) { p.peers.Close() })
 }
 
 // addDirectory adds the reading of the platform's list of hosts.
