Keep the accepted configuration in the object API and follow it in each process

One value holds a megabyte, and a configuration of thousands of organisations with their lists of names exceeds it. It is stored as a manifest with content-addressed parts; the manifest's conditional update is the acceptance. Fixed-size chunks were ruled out because one inserted organisation shifts all that follow; organisations are spread by a hash of their names, so that a change of one rewrites one part (three calls to the object API).

The Tracker decides who watches, where to fetch from and what is put in force.

--- /dev/null
+++ b/internal/configuration/registry/sweep.go
@@ -0,0 +1,44 @@
+package registry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+// SweepEvery is how many versions pass between two sweeps by submitters.
+const SweepEvery = 16
+
+// Sweep removes parts that no accepted configuration needs and returns how
+// many. It is safe at any time; what it leaves out a later one removes.
+func Sweep(ctx context.Context, store platform.Store) (int, error) {
+	m, object, err := ReadManifest(ctx, store)
+	if err != nil {
+		return 0, err
+	}
+	named := make(map[string]bool, len(m.Parts))
+	for _, hash := range m.Parts {
+		named[configuration.PartKey(hash)] = true
+	}
+	objects, err := store.List(ctx, configuration.PartPrefix)
+	if err != nil {
+		return 0, errors.Wrap(err, "list the parts of configurations")
+	}
+	removed := 0
+	for _, o := range objects {
+		if named[o.Key] || o.Version >= object {
+			continue
+		}
+		switch err := store.Delete(ctx, o.Key, o.Version); {
+		case err == nil:
+			removed++
+		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		default:
+			return removed, errors.Wrap(err, "remove an unused part")
+		}
+	}
+	return removed, nil
+}
--- /dev/null
+++ b/internal/configuration/source/source.go
@@ -0,0 +1,111 @@
+// Package source carries out the effects of a configuration.Tracker that
+// concern the platform's object API, and posts the results as its events.
+package source
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+// Source runs calls to the object API in goroutines of its own. Its methods
+// are for one goroutine.
+type Source struct {
+	store   platform.Store
+	post    func(configuration.Event)
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	watches map[uint64]context.CancelFunc
+}
+
+// New returns a Source. It calls post from several goroutines; post must not
+// block for long.
+func New(store platform.Store, post func(configuration.Event)) *Source {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Source{store: store, post: post, ctx: ctx, stop: stop, watches: make(map[uint64]context.CancelFunc)}
+}
+
+// Close cancels all calls and waits for them.
+func (s *Source) Close() {
+	s.stop()
+	s.running.Wait()
+}
+
+// Do carries out an effect, and says whether it was one for the object API.
+func (s *Source) Do(e configuration.Effect) bool {
+	switch e := e.(type) {
+	case configuration.StartWatch:
+		s.startWatch(e)
+	case configuration.CancelWatch:
+		s.cancelWatch(e.ID)
+	case configuration.FetchFromStore:
+		s.running.Go(func() { s.post(s.fetch(e)) })
+	default:
+		return false
+	}
+	return true
+}
+
+// startWatch begins a watch. The Tracker has one at a time, so the others are over.
+func (s *Source) startWatch(e configuration.StartWatch) {
+	for id := range s.watches {
+		s.cancelWatch(id)
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.watches[e.ID] = cancel
+	s.running.Go(func() {
+		defer cancel()
+		s.post(s.watch(ctx, e))
+	})
+}
+
+func (s *Source) cancelWatch(id uint64) {
+	if cancel, ok := s.watches[id]; ok {
+		cancel()
+		delete(s.watches, id)
+	}
+}
+
+func (s *Source) watch(ctx context.Context, e configuration.StartWatch) configuration.WatchResult {
+	objects, reached, err := s.store.Watch(ctx, configuration.ManifestKey, e.After, e.Wait)
+	if err != nil {
+		return configuration.WatchResult{ID: e.ID, Outcome: configuration.Failed}
+	}
+	result := configuration.WatchResult{ID: e.ID, Reached: reached}
+	for _, o := range objects {
+		if o.Key == configuration.ManifestKey && !o.Deleted {
+			result.Manifest = o.Value
+		}
+	}
+	return result
+}
+
+func (s *Source) fetch(e configuration.FetchFromStore) configuration.FetchResult {
+	failed := configuration.FetchResult{ID: e.ID, Outcome: configuration.Failed}
+	result := configuration.FetchResult{ID: e.ID}
+	ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
+	defer cancel()
+	if e.Manifest {
+		o, err := s.store.Get(ctx, configuration.ManifestKey)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return failed
+		}
+		result.Manifest = o.Value
+	}
+	for _, hash := range e.Parts {
+		o, err := s.store.Get(ctx, configuration.PartKey(hash))
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return failed
+		}
+		result.Parts = append(result.Parts, configuration.Part{Hash: hash, Bytes: o.Value})
+	}
+	return result
+}
