--- a/intent/check.go
+++ b/intent/check.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
+	"strconv"
 
 	"github.com/chestnutline/chestnutline/internal/finding"
 )
@@ -27,18 +27,6 @@
 	MaxInFlight = 1_000_000
 )
 
-var (
-	plainName   = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-	modelName   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/:-]{0,126}$`)
-	versionName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
-)
-
-const (
-	plainNameRule   = "use 1 to 63 of a-z, 0-9, '.', '_' and '-', the first a letter or digit"
-	modelNameRule   = "use 1 to 127 of A-Z, a-z, 0-9, '.', '_', '/', ':' and '-', the first a letter or digit"
-	versionNameRule = "use 1 to 63 of A-Z, a-z, 0-9, '.', '_' and '-', the first a letter or digit"
-)
-
 // Check returns every problem of the configuration, in the order of the
 // document. Places read like kinds[2].default_limit_ms. An empty result means
 // that the configuration can be submitted.
@@ -67,159 +55,185 @@
 	kinds       map[string]int
 }
 
-func (k *checker) addf(place, format string, args ...any) {
-	k.findings.Add(place, fmt.Sprintf(format, args...))
+// place is where a finding is, such as kinds[2].weight. It is formatted only
+// when there is a finding.
+type place struct {
+	list  string
+	index int
+	field string
+}
+
+// listPlace is a whole list, such as kinds.
+func listPlace(list string) place {
+	return place{list: list, index: -1}
+}
+
+func (p place) String() string {
+	text := p.list
+	if p.index >= 0 {
+		text += "[" + strconv.Itoa(p.index) + "]"
+	}
+	if p.field != "" {
+		text += "." + p.field
+	}
+	return text
+}
+
+func (k *checker) addf(at place, format string, args ...any) {
+	k.findings.Add(at.String(), fmt.Sprintf(format, args...))
 }
 
 // declare checks a name's form and that it is new, and remembers it.
-func (k *checker) declare(seen map[string]int, list string, i int, name string, form *regexp.Regexp, rule string) {
-	place := fmt.Sprintf("%s[%d].name", list, i)
-	if !form.MatchString(name) {
-		k.addf(place, "%q is no valid name; %s", name, rule)
+func (k *checker) declare(seen map[string]int, list string, i int, name string, form nameForm) {
+	at := place{list, i, "name"}
+	if !form.matches(name) {
+		k.addf(at, "%q is no valid name; %s", name, form.rule)
 		return
 	}
 	if first, taken := seen[name]; taken {
-		k.addf(place, "%q is declared before in %s[%d]; every name must differ", name, list, first)
+		k.addf(at, "%q is declared before in %s[%d]; every name must differ", name, list, first)
 		return
 	}
 	seen[name] = i
 }
 
 // references checks that every name of a list is declared and named once.
-func (k *checker) references(place, what string, names []string, declared map[string]int) {
+func (k *checker) references(at place, what string, names []string, declared map[string]int) {
+	if len(names) == 0 {
+		return
+	}
+	list := at.String()
 	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		at := fmt.Sprintf("%s[%d]", place, i)
 		if _, ok := declared[name]; !ok {
-			k.addf(at, "%q is no declared %s", name, what)
+			k.addf(place{list: list, index: i}, "%q is no declared %s", name, what)
 		}
 		if seen[name] {
-			k.addf(at, "%q is named twice", name)
+			k.addf(place{list: list, index: i}, "%q is named twice", name)
 		}
 		seen[name] = true
 	}
 }
 
 // unique checks the form of every name of a list and that it is named once.
-func (k *checker) unique(place string, names []string, form *regexp.Regexp, rule string) {
+func (k *checker) unique(list string, names []string, form nameForm) {
 	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		at := fmt.Sprintf("%s[%d]", place, i)
-		if !form.MatchString(name) {
-			k.addf(at, "%q is no valid name; %s", name, rule)
+		if !form.matches(name) {
+			k.addf(place{list: list, index: i}, "%q is no valid name; %s", name, form.rule)
 		}
 		if seen[name] {
-			k.addf(at, "%q is named twice", name)
+			k.addf(place{list: list, index: i}, "%q is named twice", name)
 		}
 		seen[name] = true
 	}
 }
 
-func (k *checker) between(place string, value, least, most int) {
+func (k *checker) between(at place, value, least, most int) {
 	if value < least || value > most {
-		k.addf(place, "%d is out of range; use %d to %d", value, least, most)
+		k.addf(at, "%d is out of range; use %d to %d", value, least, most)
 	}
 }
 
-func (k *checker) positive(place string, value float64) {
+func (k *checker) positive(at place, value float64) {
 	if math.IsNaN(value) || value <= 0 || value > MaxShare {
-		k.addf(place, "%v is out of range; use a number above 0, at most %d", value, MaxShare)
+		k.addf(at, "%v is out of range; use a number above 0, at most %d", value, MaxShare)
 	}
 }
 
 func (k *checker) checkDataCentres(all []DataCentre) {
 	if len(all) == 0 {
-		k.addf("data_centres", "is empty; declare at least one")
+		k.addf(listPlace("data_centres"), "is empty; declare at least one")
 	}
 	for i, d := range all {
-		k.declare(k.dataCentres, "data_centres", i, d.Name, plainName, plainNameRule)
-		if d.Region != "" && !plainName.MatchString(d.Region) {
-			k.addf(fmt.Sprintf("data_centres[%d].region", i), "%q is no valid name; %s", d.Region, plainNameRule)
+		k.declare(k.dataCentres, "data_centres", i, d.Name, plainName)
+		if d.Region != "" && !plainName.matches(d.Region) {
+			k.addf(place{"data_centres", i, "region"}, "%q is no valid name; %s", d.Region, plainName.rule)
 		}
 	}
 }
 
 func (k *checker) checkModels(all []Model) {
 	for i, m := range all {
-		place := fmt.Sprintf("models[%d]", i)
-		k.declare(k.models, "models", i, m.Name, modelName, modelNameRule)
-		if !versionName.MatchString(m.Version) {
-			k.addf(place+".version", "%q is no valid version; %s", m.Version, versionNameRule)
+		k.declare(k.models, "models", i, m.Name, modelName)
+		if !versionName.matches(m.Version) {
+			k.addf(place{"models", i, "version"}, "%q is no valid version; %s", m.Version, versionName.rule)
 		}
-		k.unique(place+".adapters", m.Adapters, versionName, versionNameRule)
-		k.between(place+".max_prompt_tokens", m.MaxPromptTokens, 1, MaxPromptTokens)
-		k.checkPlacements(place+".placements", m.Placements)
+		k.unique(place{"models", i, "adapters"}.String(), m.Adapters, versionName)
+		k.between(place{"models", i, "max_prompt_tokens"}, m.MaxPromptTokens, 1, MaxPromptTokens)
+		k.checkPlacements(place{"models", i, "placements"}.String(), m.Placements)
 	}
 }
 
-func (k *checker) checkPlacements(place string, all []Placement) {
+func (k *checker) checkPlacements(list string, all []Placement) {
 	if len(all) == 0 {
-		k.addf(place, "is empty; name at least one data centre")
+		k.addf(listPlace(list), "is empty; name at least one data centre")
 	}
 	names := make([]string, len(all))
 	for i, p := range all {
 		names[i] = p.DataCentre
-		k.between(fmt.Sprintf("%s[%d].engines", place, i), p.Engines, 0, MaxEngines)
+		k.between(place{list, i, "engines"}, p.Engines, 0, MaxEngines)
 	}
-	k.references(place, "data centre", names, k.dataCentres)
+	k.references(listPlace(list), "data centre", names, k.dataCentres)
 }
 
 func (k *checker) checkServices(all []Service) {
 	for i, s := range all {
-		k.declare(k.services, "services", i, s.Name, plainName, plainNameRule)
+		k.declare(k.services, "services", i, s.Name, plainName)
 	}
 }
 
 func (k *checker) checkKinds(all []Kind) {
 	if len(all) == 0 {
-		k.addf("kinds", "is empty; declare at least one")
+		k.addf(listPlace("kinds"), "is empty; declare at least one")
 	}
 	for i, kind := range all {
-		place := fmt.Sprintf("kinds[%d]", i)
-		k.declare(k.kinds, "kinds", i, kind.Name, plainName, plainNameRule)
-		k.checkKindTarget(place, kind)
-		k.between(place+".priority", kind.Priority, 0, MaxPriority)
-		k.positive(place+".weight", kind.Weight)
-		k.between(place+".max_limit_ms", kind.MaxLimitMillis, 1, MaxLimitMillis)
-		k.between(place+".default_limit_ms", kind.DefaultLimitMillis, 1, MaxLimitMillis)
+		k.declare(k.kinds, "kinds", i, kind.Name, plainName)
+		k.checkKindTarget(i, kind)
+		k.between(place{"kinds", i, "priority"}, kind.Priority, 0, MaxPriority)
+		k.positive(place{"kinds", i, "weight"}, kind.Weight)
+		k.between(place{"kinds", i, "max_limit_ms"}, kind.MaxLimitMillis, 1, MaxLimitMillis)
+		standard := place{"kinds", i, "default_limit_ms"}
+		k.between(standard, kind.DefaultLimitMillis, 1, MaxLimitMillis)
 		if kind.DefaultLimitMillis > kind.MaxLimitMillis {
-			k.addf(place+".default_limit_ms", "%d is above max_limit_ms, %d", kind.DefaultLimitMillis, kind.MaxLimitMillis)
+			k.addf(standard, "%d is above max_limit_ms, %d", kind.DefaultLimitMillis, kind.MaxLimitMillis)
 		}
 	}
 }
 
 // checkKindTarget checks that the kind names a declared service, or that a
 // model is declared for it. At-most-once delivery exists for services only.
-func (k *checker) checkKindTarget(place string, kind Kind) {
+func (k *checker) checkKindTarget(i int, kind Kind) {
+	at := place{"kinds", i, "service"}
 	if kind.Service == "" {
 		if len(k.models) == 0 {
-			k.addf(place+".service", "is empty, but no model is declared; name a service or declare a model")
+			k.addf(at, "is empty, but no model is declared; name a service or declare a model")
 		}
 		if kind.NeverRepeat {
-			k.addf(place+".never_repeat", "holds only for kinds of a service; name the service or remove it")
+			k.addf(place{"kinds", i, "never_repeat"}, "holds only for kinds of a service; name the service or remove it")
 		}
 		return
 	}
 	if _, ok := k.services[kind.Service]; !ok {
-		k.addf(place+".service", "%q is no declared service", kind.Service)
+		k.addf(at, "%q is no declared service", kind.Service)
 	}
 }
 
 func (k *checker) checkOrganisations(all []Organisation) {
+	const list = "organisations"
 	if len(all) == 0 {
-		k.addf("organisations", "is empty; declare at least one")
+		k.addf(listPlace(list), "is empty; declare at least one")
 	}
 	seen := make(map[string]int, len(all))
 	for i, o := range all {
-		place := fmt.Sprintf("organisations[%d]", i)
-		k.declare(seen, "organisations", i, o.Name, plainName, plainNameRule)
-		k.positive(place+".share", o.Share)
-		k.between(place+".max_in_flight", o.MaxInFlight, 0, MaxInFlight)
-		k.references(place+".models", "model", o.Models, k.models)
-		k.references(place+".kinds", "kind", o.Kinds, k.kinds)
+		k.declare(seen, list, i, o.Name, plainName)
+		k.positive(place{list, i, "share"}, o.Share)
+		k.between(place{list, i, "max_in_flight"}, o.MaxInFlight, 0, MaxInFlight)
+		k.references(place{list, i, "models"}, "model", o.Models, k.models)
+		k.references(place{list, i, "kinds"}, "kind", o.Kinds, k.kinds)
 	}
 }
 
 func (k *checker) checkEngines(names []string) {
-	k.unique("orders.checks_fencing", names, versionName, versionNameRule)
+	k.unique("orders.checks_fencing", names, versionName)
 }
--- a/intent/print.go
+++ b/intent/print.go
@@ -50,7 +50,7 @@
 
 func sorted[T any](all []T, name func(T) string) []T {
 	result := append([]T{}, all...)
-	slices.SortStableFunc(result, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	slices.SortFunc(result, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
 	return result
 }
 
--- a/internal/configuration/config.go
+++ b/internal/configuration/config.go
@@ -44,8 +44,16 @@
 	// RepairEvery is the least time between two announcements to a peer that
 	// reports an older version.
 	RepairEvery time.Duration
+	// RankDelay is how long each further watching host of a data centre leaves
+	// it to the ones before it to read new parts from the object API. Longer
+	// saves reads; a change takes longer when the first host is gone.
+	RankDelay time.Duration
+	// BulkWait is how long a watching host that lacks more than StoreParts
+	// looks for a peer that has them; the wait is randomised up to twice as long.
+	BulkWait time.Duration
 	// StoreParts is how many missing parts a watching host reads from the
-	// object API itself; with more it asks peers first.
+	// object API at once; with more it asks peers first. More makes a change
+	// of many parts faster and the start of a host dearer.
 	StoreParts int
 }
 
@@ -65,6 +73,8 @@
 		LearnWait:     3 * time.Second,
 		FallbackAfter: 4 * time.Second,
 		RepairEvery:   time.Second,
+		RankDelay:     200 * time.Millisecond,
+		BulkWait:      1500 * time.Millisecond,
 		StoreParts:    8,
 	}
 }
@@ -99,6 +109,8 @@
 		{"LearnWait", c.LearnWait},
 		{"FallbackAfter", c.FallbackAfter},
 		{"RepairEvery", c.RepairEvery},
+		{"RankDelay", c.RankDelay},
+		{"BulkWait", c.BulkWait},
 	}
 	for _, d := range durations {
 		if d.value <= 0 {
--- a/internal/configuration/learn.go
+++ b/internal/configuration/learn.go
@@ -17,8 +17,13 @@
 	// was heard.
 	peerSeen   bool
 	peerSeenAt time.Duration
+	// askAt is when the peers are asked for their versions again.
+	askAt time.Duration
 }
 
+// askPeers is how many peers a fresh process asks for their versions at once.
+const askPeers = 3
+
 func (t *Tracker) superviseLearning() {
 	l := &t.learning
 	if l.done {
@@ -40,6 +45,21 @@
 	l.done = l.storeAnswered || t.learnedFromPeers()
 }
 
+// superviseAsking makes a process without a configuration tell a few peers so,
+// which they answer with what they have.
+func (t *Tracker) superviseAsking() {
+	if t.holding.Version > 0 || t.now < t.learning.askAt || len(t.members) == 1 {
+		return
+	}
+	t.learning.askAt = t.now + t.config.RepairEvery
+	for range askPeers {
+		m := t.members[t.random.IntN(len(t.members))]
+		if m.Host != t.config.Host {
+			t.emit(Announce{Host: m.Host})
+		}
+	}
+}
+
 // learnedFromPeers says whether the peers' highest version may be taken: every
 // live member has told its own, or those that did have been waited for.
 func (t *Tracker) learnedFromPeers() bool {
--- a/internal/configuration/parts.go
+++ b/internal/configuration/parts.go
@@ -1,7 +1,10 @@
 package configuration
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -14,6 +17,9 @@
 // number of parts.
 const organisationsPerPart = 64
 
+// maxSectionBytes bounds a part's content once it is decompressed.
+const maxSectionBytes = 16 << 20
+
 // Part is one content-addressed piece of a configuration.
 type Part struct {
 	Hash  string
@@ -49,9 +55,9 @@
 	}
 	parts := make([]Part, len(sections))
 	for i, s := range sections {
-		body, err := json.Marshal(s)
+		body, err := encodePart(s)
 		if err != nil {
-			return nil, errors.Wrap(err, "encode a part of the configuration")
+			return nil, err
 		}
 		if len(body) > MaxPartBytes {
 			return nil, errors.Errorf("a part of the configuration has %d bytes, above %d; shorten its lists of names", len(body), MaxPartBytes)
@@ -75,10 +81,33 @@
 	return result
 }
 
+// encodePart writes a section as compressed JSON.
+func encodePart(s section) ([]byte, error) {
+	var body bytes.Buffer
+	w, err := flate.NewWriter(&body, flate.BestCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress a part of the configuration")
+	}
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		return nil, errors.Wrap(err, "encode a part of the configuration")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress a part of the configuration")
+	}
+	return body.Bytes(), nil
+}
+
 // decodePart reads one part. Fields that a newer program added are passed over.
 func decodePart(body []byte) (section, error) {
 	var s section
-	err := json.Unmarshal(body, &s)
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxSectionBytes+1))
+	if err != nil {
+		return s, errors.Wrap(err, "decompress a part of the configuration")
+	}
+	if len(text) > maxSectionBytes {
+		return s, errors.Errorf("a part of the configuration has more than %d bytes", maxSectionBytes)
+	}
+	err = json.Unmarshal(text, &s)
 	return s, errors.Wrap(err, "decode a part of the configuration")
 }
 
--- a/internal/configuration/pursue.go
+++ b/internal/configuration/pursue.go
@@ -1,6 +1,9 @@
 package configuration
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fetch is the one read under way, from a peer or from the object API.
 type fetch struct {
@@ -52,16 +55,21 @@
 func (t *Tracker) noteBehind() {
 	late := t.reread || t.candidate != nil || t.highest > t.floor()
 	if late && !t.behind.active {
-		wait := t.config.FallbackAfter + time.Duration(t.random.Int64N(int64(t.config.FallbackAfter)))
-		t.behind.fallbackAt = t.now + wait
+		rank := max(0, slices.Index(t.watchers, t.config.Host))
+		t.behind.partsAt = t.now + time.Duration(rank)*t.config.RankDelay
+		t.behind.bulkAt = t.now + t.jitter(2*t.config.BulkWait)
+		t.behind.fallbackAt = t.now + t.jitter(2*t.config.FallbackAfter)
 	}
 	t.behind.active = late
 }
 
-// mayReadStore says whether this host reads the object API now: watching hosts
-// at once, others when their peers have not helped for a while.
-func (t *Tracker) mayReadStore() bool {
-	return t.now >= t.store.retryAt && (t.isWatcher() || t.now >= t.behind.fallbackAt)
+// mayReadStore says whether this host reads the object API from the time given
+// on: watching hosts do, others when their peers have not helped for a while.
+func (t *Tracker) mayReadStore(watcherAt time.Duration) bool {
+	if t.now < t.store.retryAt {
+		return false
+	}
+	return t.now >= t.behind.fallbackAt || (t.isWatcher() && t.now >= watcherAt)
 }
 
 func (t *Tracker) requestManifest() {
@@ -74,7 +82,7 @@
 		t.fetchFromPeer(host, []Want{{Part: ManifestPart, Offset: len(t.partial.manifest)}})
 		return
 	}
-	if t.mayReadStore() {
+	if t.mayReadStore(t.behind.partsAt) {
 		t.fetchFromStore(true, nil)
 	}
 }
@@ -82,10 +90,6 @@
 func (t *Tracker) requestParts() {
 	missing := t.missing()
 	batch := missing[:min(len(missing), MaxWants)]
-	if t.isWatcher() && len(missing) <= t.config.StoreParts && t.mayReadStore() {
-		t.fetchFromStore(false, batch)
-		return
-	}
 	if host, ok := t.pickPeer(t.candidate.version()); ok {
 		wants := make([]Want, len(batch))
 		for i, hash := range batch {
@@ -94,7 +98,11 @@
 		t.fetchFromPeer(host, wants)
 		return
 	}
-	if t.mayReadStore() {
+	watcherAt := t.behind.partsAt
+	if len(missing) > t.config.StoreParts {
+		watcherAt = t.behind.bulkAt
+	}
+	if t.mayReadStore(watcherAt) {
 		t.fetchFromStore(false, batch)
 	}
 }
--- a/internal/configuration/tracker.go
+++ b/internal/configuration/tracker.go
@@ -60,9 +60,14 @@
 	digest  uint64
 }
 
-// behind tells since when a newer version is known but not in force.
+// behind tells that a newer version is known but not in force, and from when
+// on the object API may be read for it.
 type behind struct {
-	active     bool
+	active bool
+	// partsAt is for a watching host that lacks few parts, bulkAt for one that
+	// lacks many, fallbackAt for other hosts.
+	partsAt    time.Duration
+	bulkAt     time.Duration
 	fallbackAt time.Duration
 }
 
@@ -101,6 +106,7 @@
 	t.expireFetch()
 	t.superviseWatch()
 	t.superviseLearning()
+	t.superviseAsking()
 	t.pursue()
 	return t.out
 }
--- a/internal/configuration/tracker_test.go
+++ b/internal/configuration/tracker_test.go
@@ -75,6 +75,9 @@
 	return r
 }
 
+// startTime is when started has put a configuration in force.
+const startTime = 10 * time.Second
+
 // started returns a Tracker that has s in force, read from the object API.
 func started(t testing.TB, host string, s stored) *Tracker {
 	t.Helper()
@@ -82,11 +85,11 @@
 	effects := tracker.Step(0, Tick{})
 	effects = tracker.Step(0, s.answer(must[FetchFromStore](t, effects)))
 	for range 100 {
-		f, ok := find[FetchFromStore](effects)
-		if !ok {
-			break
+		if f, ok := find[FetchFromStore](effects); ok {
+			effects = tracker.Step(startTime, s.answer(f))
+		} else if !tracker.Ready() {
+			effects = tracker.Step(startTime, Tick{})
 		}
-		effects = tracker.Step(0, s.answer(f))
 	}
 	applied := must[Apply](t, effects)
 	if !reflect.DeepEqual(applied.Configuration, s.whole) {
@@ -120,9 +123,9 @@
 	if !old.Ready() || old.Holding().Version != 1 {
 		t.Fatal("version 1 is not in force")
 	}
-	old.Step(time.Second, MembersChanged{Members: []Member{{"a", "dc-0"}, {"b", "dc-0"}, {"c", "dc-0"}}})
-	effects := old.Step(time.Second, PeerVersion{Host: "b", Version: 2, Digest: Digest(second.manifest)})
-	applied := converse(t, old, fresh, time.Second, effects)
+	old.Step(startTime, MembersChanged{Members: []Member{{"a", "dc-0"}, {"b", "dc-0"}, {"c", "dc-0"}}})
+	effects := old.Step(startTime, PeerVersion{Host: "b", Version: 2, Digest: Digest(second.manifest)})
+	applied := converse(t, old, fresh, startTime, effects)
 	if len(applied) != 1 || !reflect.DeepEqual(applied[0].Configuration, second.whole) {
 		t.Errorf("%d configurations were applied, or a different one", len(applied))
 	}
