Check the configuration tracker with any order of events and measure it

Generated events, with lost, repeated and damaged answers and peers that claim versions they lack, keep versions rising and contents whole.

--- a/internal/configuration/experiment/experiment.go
+++ b/internal/configuration/experiment/experiment.go
@@ -45,6 +45,9 @@
 	// OutageFrom and OutageTo bound an outage of the object API; none if equal.
 	OutageFrom time.Duration
 	OutageTo   time.Duration
+	// CutDataCentres is how many data centres cannot reach the object API
+	// after Settle.
+	CutDataCentres int
 	// New makes the follower of one host.
 	New func(c configuration.Config) Follower
 }
--- a/internal/configuration/experiment/store.go
+++ b/internal/configuration/experiment/store.go
@@ -48,11 +48,14 @@
 	return s.w.now >= s.w.o.OutageFrom && s.w.now < s.w.o.OutageTo
 }
 
+// unreachable says whether a host's calls fail.
+func (s *store) unreachable(h *host) bool {
+	cut := s.w.now >= s.w.o.Settle && h.index%s.w.o.DataCentres < s.w.o.CutDataCentres
+	return cut || s.down()
+}
+
 // accept changes one organisation. Its calls count as an operator's would.
 func (s *store) accept() error {
-	if s.down() {
-		return nil
-	}
 	s.declared.Organisations[s.w.random.IntN(len(s.declared.Organisations))].Share++
 	parts, err := configuration.Split(s.declared)
 	if err != nil {
@@ -90,6 +93,10 @@
 }
 
 func (s *store) answer(v waiter) {
+	if s.unreachable(v.host) {
+		s.reply(v.host, v.incarnation, configuration.WatchResult{ID: v.effect.ID, Outcome: configuration.Failed})
+		return
+	}
 	result := configuration.WatchResult{ID: v.effect.ID, Reached: s.object}
 	if s.object > v.effect.After {
 		result.Manifest = s.raw
@@ -110,7 +117,7 @@
 func (s *store) watch(h *host, e configuration.StartWatch) {
 	s.w.record.called(s.w)
 	v := waiter{host: h, incarnation: h.incarnation, effect: e, silent: s.w.random.Float64() < s.w.o.SilentWatches}
-	if s.down() {
+	if s.unreachable(h) {
 		s.reply(h, h.incarnation, configuration.WatchResult{ID: e.ID, Outcome: configuration.Failed})
 		return
 	}
@@ -143,7 +150,7 @@
 			result.Parts = append(result.Parts, configuration.Part{Hash: hash, Bytes: body})
 		}
 	}
-	if s.down() {
+	if s.unreachable(h) {
 		result = configuration.FetchResult{ID: e.ID, Outcome: configuration.Failed}
 	}
 	s.reply(h, h.incarnation, result)
--- a/internal/configuration/experiment/world.go
+++ b/internal/configuration/experiment/world.go
@@ -121,6 +121,9 @@
 }
 
 func (w *world) change() {
+	if w.store.down() {
+		return
+	}
 	if err := w.store.accept(); err != nil {
 		w.err = err
 	}
--- /dev/null
+++ b/internal/configuration/source/source_test.go
@@ -0,0 +1,63 @@
+package source
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+// hanging answers for one part and hangs at everything else.
+type hanging struct{ platform.Store }
+
+func (hanging) Get(ctx context.Context, key string) (platform.Object, error) {
+	switch key {
+	case configuration.PartKey("held"):
+		return platform.Object{Key: key, Value: []byte("content")}, nil
+	case configuration.PartKey("gone"):
+		return platform.Object{}, platform.ErrNotFound
+	}
+	<-ctx.Done()
+	return platform.Object{}, platform.ErrUnknown
+}
+
+func (hanging) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]platform.Object, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, platform.ErrUnknown
+}
+
+func TestFetchLeavesOutWhatIsGone(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	events := make(chan configuration.Event, 1)
+	s := New(hanging{}, func(e configuration.Event) { events <- e })
+	defer s.Close()
+	s.Do(configuration.FetchFromStore{ID: 7, Parts: []string{"held", "gone"}, Timeout: time.Minute})
+	r := (<-events).(configuration.FetchResult)
+	if r.ID != 7 || r.Outcome != configuration.Answered || len(r.Parts) != 1 || r.Parts[0].Hash != "held" {
+		t.Errorf("result %+v", r)
+	}
+}
+
+func TestHangingCallsEnd(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	events := make(chan configuration.Event, 3)
+	s := New(hanging{}, func(e configuration.Event) { events <- e })
+	s.Do(configuration.FetchFromStore{ID: 1, Manifest: true, Timeout: time.Millisecond})
+	if r := (<-events).(configuration.FetchResult); r.Outcome != configuration.Failed {
+		t.Errorf("result %+v", r)
+	}
+	s.Do(configuration.StartWatch{ID: 2, Wait: time.Minute})
+	s.Do(configuration.CancelWatch{ID: 2})
+	if r := (<-events).(configuration.WatchResult); r.Outcome != configuration.Failed {
+		t.Errorf("result %+v", r)
+	}
+	s.Do(configuration.StartWatch{ID: 3, Wait: time.Minute})
+	s.Close()
+	if s.Do(configuration.Announce{}) {
+		t.Error("took an effect for peers")
+	}
+}
--- a/internal/configuration/tracker_test.go
+++ b/internal/configuration/tracker_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/chestnutline/chestnutline/intent"
 )
 
@@ -133,3 +135,196 @@
 		t.Errorf("version %d is in force after the peer's answers, want 2", old.Holding().Version)
 	}
 }
+
+func TestSilentWatchIsReplaced(t *testing.T) {
+	s, _ := accepted(t, Manifest{}, 2)
+	tracker := started(t, "a", s)
+	c := tracker.config
+	silent := startTime + c.WatchWait + c.WatchGrace
+	effects := tracker.Step(silent, Tick{})
+	must[CancelWatch](t, effects)
+	if r := must[Report](t, effects); r.Kind != WatchSilent {
+		t.Errorf("report %v", r)
+	}
+	old := must[StartWatch](t, effects)
+	effects = tracker.Step(silent+c.WatchWait+c.WatchGrace, Tick{})
+	must[CancelWatch](t, effects)
+	if again, ok := find[StartWatch](effects); ok && again.ID == old.ID {
+		t.Error("the id of a watch was used again")
+	}
+}
+
+// TestFreshProcessInOutage starts a process that cannot read the object API.
+func TestFreshProcessInOutage(t *testing.T) {
+	first, m := accepted(t, Manifest{}, 2)
+	second, _ := accepted(t, m, 2)
+	old, newer := started(t, "a", first), started(t, "b", second)
+	fresh := New(DefaultConfig("c", "dc-0", 1))
+	fresh.Step(0, MembersChanged{Members: []Member{{"a", "dc-0"}, {"b", "dc-0"}, {"c", "dc-0"}}})
+	for now := range 100 * time.Second / TickEvery {
+		effects := fresh.Step(now*TickEvery, Tick{})
+		if f, ok := find[FetchFromStore](effects); ok {
+			fresh.Step(now*TickEvery, FetchResult{ID: f.ID, Outcome: Failed})
+		}
+	}
+	if fresh.Ready() {
+		t.Fatal("ready without a configuration")
+	}
+	now := 100 * time.Second
+	serve := func(effects []Effect) []Apply {
+		f, ok := find[FetchFromPeer](effects)
+		if ok && f.Host == "a" {
+			return converse(t, fresh, old, now, effects)
+		}
+		return converse(t, fresh, newer, now, effects)
+	}
+	applied := serve(fresh.Step(now, PeerVersion{Host: "a", Version: 1}))
+	if len(applied) > 0 {
+		t.Fatal("took a peer's version before the others were heard")
+	}
+	effects := fresh.Step(now, PeerVersion{Host: "b", Version: 2})
+	applied = serve(effects)
+	if len(applied) != 1 || applied[0].Version != 2 {
+		t.Fatalf("applied %v, want version 2 alone", applied)
+	}
+}
+
+// TestAnyEventsKeepVersionsRising feeds events in any order, with lost,
+// repeated, mixed-up and damaged answers.
+func TestAnyEventsKeepVersionsRising(t *testing.T) {
+	var versions []stored
+	var holdings []Holding
+	m := Manifest{}
+	for range 4 {
+		var s stored
+		s, m = accepted(t, m, 100)
+		versions = append(versions, s)
+		version := uint64(len(versions))
+		holdings = append(holdings, Holding{Version: version, Digest: Digest(s.manifest), Manifest: s.manifest, Parts: s.parts})
+	}
+	applies := 0
+	defer func() {
+		if applies == 0 {
+			t.Error("nothing was ever applied; the check shows nothing")
+		}
+	}()
+	rapid.Check(t, func(rt *rapid.T) {
+		tracker := New(DefaultConfig(rapid.SampledFrom([]string{"a", "z"}).Draw(rt, "self"), "dc-0", 1))
+		var pending []Effect
+		var now time.Duration
+		last := uint64(0)
+		for range 60 {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond
+			e := anyEvent(rt, pending, versions, holdings)
+			for _, effect := range tracker.Step(now, e) {
+				a, ok := effect.(Apply)
+				if !ok {
+					pending = append(pending, effect)
+					continue
+				}
+				if a.Version <= last {
+					rt.Fatalf("version %d after %d", a.Version, last)
+				}
+				last = a.Version
+				applies++
+				if !reflect.DeepEqual(a.Configuration, versions[a.Version-1].whole) {
+					rt.Fatalf("version %d has a different content", a.Version)
+				}
+			}
+		}
+	})
+}
+
+func anyEvent(rt *rapid.T, pending []Effect, versions []stored, holdings []Holding) Event {
+	host := rapid.SampledFrom([]string{"m", "n", "stranger"}).Draw(rt, "host")
+	i := rapid.IntRange(0, len(versions)-1).Draw(rt, "version")
+	if len(pending) > 0 && rapid.IntRange(0, 3).Draw(rt, "answer") > 0 {
+		effect := pending[rapid.IntRange(max(0, len(pending)-4), len(pending)-1).Draw(rt, "effect")]
+		if e := answerTo(rt, effect, versions[i], holdings[i]); e != nil {
+			return e
+		}
+	}
+	switch rapid.IntRange(0, 3).Draw(rt, "event") {
+	case 0:
+		return MembersChanged{Members: []Member{{"m", "dc-0"}, {host, "dc-0"}}}
+	case 1:
+		claimed := rapid.SampledFrom([]uint64{0, 1, 2, 3, 4, 9}).Draw(rt, "claimed")
+		return PeerVersion{Host: host, Version: claimed, Digest: holdings[i].Digest}
+	default:
+		return Tick{}
+	}
+}
+
+func answerTo(rt *rapid.T, effect Effect, s stored, h Holding) Event {
+	switch effect := effect.(type) {
+	case StartWatch:
+		return WatchResult{ID: effect.ID, Manifest: s.manifest, Reached: effect.After}
+	case FetchFromStore:
+		if rapid.Bool().Draw(rt, "fail") {
+			return FetchResult{ID: effect.ID, Outcome: Failed}
+		}
+		return s.answer(effect)
+	case FetchFromPeer:
+		a := h.Answer(effect.Request)
+		if rapid.IntRange(0, 4).Draw(rt, "damage") == 0 && len(a.Chunks) > 0 && len(a.Chunks[0].Bytes) > 0 {
+			damaged := append([]byte(nil), a.Chunks[0].Bytes...)
+			damaged[0] ^= 1
+			a.Chunks[0].Bytes = damaged
+		}
+		return PeerAnswer{Host: effect.Host, Answer: a}
+	}
+	return nil
+}
+
+func TestRejectsWhatItCannotRead(t *testing.T) {
+	s, m := accepted(t, Manifest{}, 2)
+	tracker := started(t, "a", s)
+	watch := func(raw []byte) []Effect {
+		return tracker.Step(startTime, WatchResult{ID: tracker.watch.id, Manifest: raw, Reached: 1})
+	}
+	next := m.Next("ana", "newer format", "n", m.Parts)
+	next.Format = Format + 1
+	raw, err := next.Bytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := must[Report](t, watch(raw)); r.Kind != VersionRejected {
+		t.Errorf("report %v", r)
+	}
+	empty := m.Next("ana", "no organisations", "n", m.Parts[:1])
+	if raw, err = empty.Bytes(); err != nil {
+		t.Fatal(err)
+	}
+	if r := must[Report](t, watch(raw)); r.Kind != VersionRejected || tracker.Holding().Version != 1 {
+		t.Errorf("report %v, version %d", r, tracker.Holding().Version)
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	s, m := accepted(b, Manifest{}, 4200)
+	next, _ := accepted(b, m, 4200)
+	b.Run("Tick470Members", func(b *testing.B) {
+		tracker := started(b, "a", s)
+		var members []Member
+		for i := range 470 {
+			members = append(members, Member{Host: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprintf("dc-%d", i%16)})
+		}
+		tracker.Step(startTime, MembersChanged{Members: members})
+		b.ReportAllocs()
+		for b.Loop() {
+			tracker.Step(startTime, PeerVersion{Host: "host-007", Version: 1})
+		}
+	})
+	b.Run("Apply4200Organisations", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			b.StopTimer()
+			tracker := started(b, "a", s)
+			effects := tracker.Step(startTime, WatchResult{ID: tracker.watch.id, Manifest: next.manifest, Reached: 2})
+			f := must[FetchFromStore](b, effects)
+			b.StartTimer()
+			effects = tracker.Step(startTime, next.answer(f))
+			must[Apply](b, effects)
+		}
+	})
+}
