Read pieces without the JSON decoder

Cause: at 87,000 pieces a second from 18 engines the reader spent a third of its processor time in encoding/json. Pieces laid out as AppendPiece writes them are now scanned by their constant parts; others still take the decoder.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -6,30 +6,11 @@
 	"context"
 	"encoding/json"
 	"io"
-	"strconv"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
-// chunk is the document of one event of a stream.
-type chunk struct {
-	ID      string   `json:"id"`
-	Attempt uint32   `json:"attempt"`
-	Offset  int      `json:"offset"`
-	Tokens  int      `json:"tokens"`
-	Choices []choice `json:"choices"`
-}
-
-type choice struct {
-	Delta        delta   `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type delta struct {
-	Content string `json:"content"`
-}
-
 // Finish reasons of a Piece.
 const (
 	FinishStop      = "stop"
@@ -49,33 +30,12 @@
 // DoneEvent ends the event stream of an answer.
 const DoneEvent = "data: [DONE]\n\n"
 
-// AppendPiece appends a piece as a server-sent event. The text must need no
-// escapes in JSON.
-func AppendPiece(dst []byte, p Piece) []byte {
-	dst = append(dst, `data: {"id":`...)
-	dst = strconv.AppendQuote(dst, p.Work.Request)
-	dst = append(dst, `,"object":"chat.completion.chunk","attempt":`...)
-	dst = strconv.AppendUint(dst, uint64(p.Work.Attempt), 10)
-	dst = append(dst, `,"offset":`...)
-	dst = strconv.AppendInt(dst, int64(p.Offset), 10)
-	dst = append(dst, `,"tokens":`...)
-	dst = strconv.AppendInt(dst, int64(p.Tokens), 10)
-	dst = append(dst, `,"choices":[{"index":0,"delta":{"content":"`...)
-	dst = append(dst, p.Text...)
-	dst = append(dst, `"},"finish_reason":`...)
-	if p.Finish == "" {
-		dst = append(dst, `null`...)
-	} else {
-		dst = strconv.AppendQuote(dst, p.Finish)
-	}
-	return append(dst, "}]}\n\n"...)
-}
-
 // eventStream reads server-sent events.
 type eventStream struct {
 	body     io.ReadCloser
 	cancel   context.CancelFunc
 	lines    *bufio.Reader
+	last     WorkID // of the newest piece
 	finished bool
 	closed   atomic.Bool
 }
@@ -118,21 +78,12 @@
 	if string(data) == doneMark {
 		return Piece{}, s.end()
 	}
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
+	p, err := parsePiece(data, s.last)
+	if err != nil {
 		return Piece{}, fault{kinds: []error{ErrUnknown}, text: "read stream", cause: err}
 	}
-	if len(c.Choices) != 1 {
-		return Piece{}, fault{kinds: []error{ErrUnknown}, text: "read stream", cause: errors.Errorf("piece with %d choices", len(c.Choices))}
-	}
-	p := Piece{
-		Work: WorkID{Request: c.ID, Attempt: c.Attempt}, Offset: c.Offset,
-		Tokens: c.Tokens, Text: c.Choices[0].Delta.Content,
-	}
-	if reason := c.Choices[0].FinishReason; reason != nil {
-		p.Finish = *reason
-		s.finished = true
-	}
+	s.last = p.Work
+	s.finished = s.finished || p.Finish != ""
 	return p, nil
 }
 
--- a/internal/standin/engine/feed.go
+++ b/internal/standin/engine/feed.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"sync"
 
 	"github.com/chestnutline/chestnutline/internal/standin/batch"
@@ -55,26 +56,17 @@
 	}
 }
 
-// await returns when the progress satisfies done, or stop closes first.
-func (f *feed) await(done func(batch.Progress) bool, stops ...<-chan struct{}) (batch.Progress, bool) {
-	w := f.subscribe()
-	defer f.unsubscribe(w)
-	var first, second <-chan struct{}
-	if len(stops) > 0 {
-		first = stops[0]
-	}
-	if len(stops) > 1 {
-		second = stops[1]
-	}
+// await returns when the progress satisfies done, or a context ends first.
+func (f *feed) await(changed <-chan struct{}, done func(batch.Progress) bool, life, caller context.Context) (batch.Progress, bool) {
 	for {
 		if p := f.now(); done(p) {
 			return p, true
 		}
 		select {
-		case <-w:
-		case <-first:
+		case <-changed:
+		case <-life.Done():
 			return f.now(), false
-		case <-second:
+		case <-caller.Done():
 			return f.now(), false
 		}
 	}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -125,10 +125,12 @@
 	w.WriteHeader(http.StatusOK)
 	w.Flush()
 	request := c.Request().Context()
-	changed := func(p batch.Progress) bool { return p.Produced > offset || p.Finish != "" }
+	news := func(p batch.Progress) bool { return p.Produced > offset || p.Finish != "" }
+	changed := f.subscribe()
+	defer f.unsubscribe(changed)
 	var buf, text []byte
 	for {
-		p, ok := f.await(changed, request.Done(), l.ctx.Done())
+		p, ok := f.await(changed, news, l.ctx, request)
 		if !ok || !l.engine.faults.Thawed(request) {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/standin/engine/group.go
+++ b/internal/standin/engine/group.go
@@ -43,7 +43,9 @@
 	calls.Go(func() {
 		l.awaitMembers(ctx, r.Work, len(members), results)
 	})
-	f.await(over, l.ctx.Done())
+	changed := f.subscribe()
+	defer f.unsubscribe(changed)
+	f.await(changed, over, l.ctx, ctx)
 	cancel()
 	for _, member := range members {
 		calls.Go(func() { l.notifyOver(member, r.Work) })
@@ -133,7 +135,9 @@
 	l.poke()
 	request := c.Request().Context()
 	done := func(p batch.Progress) bool { return p.Prefilled || p.Finish != "" }
-	if p, ok := f.await(done, request.Done(), l.ctx.Done()); !ok || p.Finish != "" {
+	changed := f.subscribe()
+	defer f.unsubscribe(changed)
+	if p, ok := f.await(changed, done, l.ctx, request); !ok || p.Finish != "" {
 		panic(http.ErrAbortHandler)
 	}
 	w := c.Response()
@@ -141,6 +145,6 @@
 	_, _ = io.WriteString(w, "{\"prefilled\":true}\n")
 	w.Flush()
 	over := func(p batch.Progress) bool { return p.Finish != "" }
-	f.await(over, request.Done(), l.ctx.Done())
+	f.await(changed, over, l.ctx, request)
 	return nil
 }
