--- /dev/null
+++ b/internal/engine/wire_test.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"encoding/json"
+	"flag"
+	"io"
+	"os"
+	"testing"
+	"unicode/utf8"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// TestRequestSurvivesEncoding compares what an ordinary decoder reads with what was sent.
+func TestRequestSurvivesEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Request{Work: WorkID{Request: "r1", Attempt: 2}, Model: "judge@1", Prompt: rapid.String().Draw(t, "prompt"), MaxTokens: 3}
+		if !utf8.ValidString(sent.Prompt) {
+			t.Skip("not UTF-8")
+		}
+		body, length, err := encodeRequest(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(body)
+		if err != nil || int64(len(data)) != length {
+			t.Fatalf("%d bytes, announced %d, error %v", len(data), length, err)
+		}
+		var got ChatRequest
+		if err := json.Unmarshal(data, &got); err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Messages) != 1 || got.Messages[0].Content != sent.Prompt || got.Work != sent.Work {
+			t.Fatalf("got %+v", got)
+		}
+	})
+}
+
+// TestScannedPieceEqualsDecoded compares the scanner with the JSON decoder, on
+// pieces as written and on pieces changed at one byte.
+func TestScannedPieceEqualsDecoded(t *testing.T) {
+	word := rapid.StringMatching(`[ -!#-\[\]-~]{0,12}`)
+	rapid.Check(t, func(t *rapid.T) {
+		p := Piece{
+			Work:   WorkID{Request: word.Draw(t, "request"), Attempt: uint32(rapid.IntRange(0, 1<<20).Draw(t, "attempt"))},
+			Offset: rapid.IntRange(0, 1<<25).Draw(t, "offset"), Tokens: rapid.IntRange(0, 99).Draw(t, "tokens"),
+			Text: word.Draw(t, "text"), Finish: rapid.SampledFrom([]string{"", FinishLength, FinishCancelled}).Draw(t, "finish"),
+		}
+		event := AppendPiece(nil, p)
+		data := event[len("data: ") : len(event)-2]
+		scanned, ok := scanPiece(data, WorkID{})
+		if !ok || scanned != p {
+			t.Fatalf("scanned %+v from %s", scanned, data)
+		}
+		at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+		data[at] = rapid.Byte().Draw(t, "byte")
+		scanned, ok = scanPiece(data, WorkID{})
+		if !ok {
+			return
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			t.Fatalf("scanner accepts %q, decoder says %v", data, err)
+		}
+		if c.ID != scanned.Work.Request || c.Attempt != scanned.Work.Attempt || c.Offset != scanned.Offset ||
+			c.Tokens != scanned.Tokens || c.Choices[0].Delta.Content != scanned.Text {
+			t.Fatalf("scanned %+v, decoded %+v", scanned, c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/faults_test.go
@@ -0,0 +1,261 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	api "github.com/chestnutline/chestnutline/internal/engine"
+	"github.com/chestnutline/chestnutline/internal/standin/engine"
+	"github.com/chestnutline/chestnutline/internal/standin/fault"
+)
+
+func order(t *testing.T, e *engine.Engine, o fault.Order) {
+	t.Helper()
+	if err := e.Fault(o); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readSome reads pieces until at least n tokens have come, and returns their number.
+func readSome(t *testing.T, s api.Stream, n int) int {
+	t.Helper()
+	offset := 0
+	for offset < n {
+		p, err := s.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Offset != offset {
+			t.Fatalf("piece at %d, want %d", p.Offset, offset)
+		}
+		offset += p.Tokens
+	}
+	return offset
+}
+
+func TestResumeHasNoGapAndNoRepeat(t *testing.T) {
+	for _, kind := range []string{fault.Silent, fault.Cut} {
+		t.Run(kind, func(t *testing.T) {
+			e := start(t, nil)
+			c, ctx := client(t)
+			r := request(1, "thread", 300)
+			s, err := c.Generate(ctx, e.Address(), r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			offset := readSome(t, s, 5)
+			order(t, e, fault.Order{Kind: kind})
+			resumed, err := c.Resume(ctx, e.Address(), r.Work, offset)
+			if err != nil {
+				t.Fatal(err)
+			}
+			readAll(t, resumed, r, offset)
+			if got := e.Counters(true); got.Core.Held != 0 || got.Runs[r.Work.Request] != 1 {
+				t.Fatalf("counters %+v", got)
+			}
+		})
+	}
+}
+
+func TestFinishedAnswerCanBeResumedForATime(t *testing.T) {
+	e := start(t, func(c *engine.Config) { c.Batch.KeepFinished = time.Minute })
+	c, ctx := client(t)
+	r := request(1, "comment", 10)
+	s, err := c.Generate(ctx, e.Address(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, s, r, 0)
+	for offset := range r.MaxTokens + 1 {
+		resumed, err := c.Resume(ctx, e.Address(), r.Work, offset)
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAll(t, resumed, r, offset)
+	}
+	if _, err := c.Resume(ctx, e.Address(), api.WorkID{Request: "other", Attempt: 1}, 0); !errors.Is(err, api.ErrNoWork) {
+		t.Fatalf("got %v, want ErrNoWork", err)
+	}
+}
+
+func TestMemoryStaysHeldWithoutAReaderUntilCancel(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	r := request(1, "comment", 100_000)
+	s, err := c.Generate(ctx, e.Address(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readSome(t, s, 1)
+	_ = s.Close()
+	order(t, e, fault.Order{Kind: fault.Cut})
+	if held := e.Counters(false).Core.Held; held != 100_001 {
+		t.Fatalf("%d tokens held, want 100001", held)
+	}
+	order(t, e, fault.Order{Kind: fault.LoseAnswer, Path: api.PathCancel})
+	if err := c.Cancel(ctx, e.Address(), r.Work); !errors.Is(err, api.ErrUnknown) {
+		t.Fatalf("cancel with a lost answer: got %v, want ErrUnknown", err)
+	}
+	if err := c.Cancel(ctx, e.Address(), r.Work); err != nil {
+		t.Fatal(err)
+	}
+	if held := e.Counters(false).Core.Held; held != 0 {
+		t.Fatalf("%d tokens held after cancel", held)
+	}
+	if _, err := c.Generate(ctx, e.Address(), r); !errors.Is(err, api.ErrNotRun) {
+		t.Fatalf("start after cancel: got %v, want ErrNotRun", err)
+	}
+}
+
+func TestRefusalsAreNotRun(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	big := request(1, "comment", 400_001)
+	if _, err := c.Generate(ctx, e.Address(), big); !errors.Is(err, api.ErrNoMemory) || !errors.Is(err, api.ErrNotRun) {
+		t.Fatalf("got %v, want ErrNoMemory and ErrNotRun", err)
+	}
+	foreign := request(2, "comment", 1)
+	foreign.Model = "judge@2"
+	if _, err := c.Generate(ctx, e.Address(), foreign); !errors.Is(err, api.ErrNotRun) {
+		t.Fatalf("got %v, want ErrNotRun", err)
+	}
+	twice := request(3, "comment", 1000)
+	s, err := c.Generate(ctx, e.Address(), twice)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := c.Generate(ctx, e.Address(), twice); !errors.Is(err, api.ErrUnknown) {
+		t.Fatalf("duplicate: got %v, want ErrUnknown", err)
+	}
+}
+
+// disturb injects one random fault and may return a shorter context.
+func disturb(t *testing.T, e *engine.Engine, ctx context.Context, random *rand.Rand) (context.Context, context.CancelFunc) {
+	t.Helper()
+	switch random.IntN(8) {
+	case 0:
+		order(t, e, fault.Order{Kind: fault.LoseAnswer, Path: api.PathGenerate})
+	case 1:
+		order(t, e, fault.Order{Kind: fault.Drop, Path: api.PathGenerate})
+	case 2:
+		order(t, e, fault.Order{Kind: fault.RefuseMemory, ForMillis: 1})
+	case 3:
+		order(t, e, fault.Order{Kind: fault.Die, ForMillis: 2})
+	case 4:
+		time.AfterFunc(time.Duration(random.IntN(1000))*time.Microsecond, func() { _ = e.Fault(fault.Order{Kind: fault.Cut}) })
+	case 5:
+		order(t, e, fault.Order{Kind: fault.Silent})
+		return context.WithTimeout(ctx, 20*time.Millisecond)
+	case 6:
+		return context.WithTimeout(ctx, time.Duration(random.IntN(1500))*time.Microsecond)
+	}
+	return context.WithTimeout(ctx, 200*time.Millisecond)
+}
+
+// TestNotRunMeansNotRun sends requests through random faults and compares each
+// verdict with the engine's own count. The naive verdict, that a request
+// without an answer was not run, must fail the same check.
+func TestNotRunMeansNotRun(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	notRun, naiveWrong := 0, 0
+	var refused []string
+	for i := range 400 {
+		r := request(i, strings.Repeat("word", random.IntN(20_000)+1), 1)
+		limited, cancel := disturb(t, e, ctx, random)
+		s, err := c.Generate(limited, e.Address(), r)
+		if err == nil {
+			_ = s.Close()
+		}
+		cancel()
+		if errors.Is(err, api.ErrNotRun) {
+			notRun++
+			refused = append(refused, r.Work.Request)
+		} else if err != nil && e.Runs(r.Work.Request) > 0 {
+			naiveWrong++
+		}
+	}
+	_ = e.Fault(fault.Order{Kind: fault.Clear})
+	for _, id := range refused {
+		if n := e.Runs(id); n != 0 {
+			t.Errorf("%s was called not run and ran %d times", id, n)
+		}
+	}
+	if notRun == 0 || naiveWrong == 0 {
+		t.Fatalf("%d not run, naive verdict wrong %d times; the check proves nothing", notRun, naiveWrong)
+	}
+	t.Logf("%d of 400 not run, naive verdict wrong %d times", notRun, naiveWrong)
+}
+
+func TestFreezeDelaysAndLosesNothing(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	r := request(1, "comment", 50)
+	s, err := c.Generate(ctx, e.Address(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	order(t, e, fault.Order{Kind: fault.Freeze, ForMillis: 50})
+	readAll(t, s, r, 0)
+}
+
+func TestDeathLosesAllState(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	r := request(1, "comment", 100_000)
+	s, err := c.Generate(ctx, e.Address(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	order(t, e, fault.Order{Kind: fault.Die, ForMillis: 1})
+	for err == nil {
+		_, err = s.Next()
+	}
+	if !errors.Is(err, api.ErrUnknown) {
+		t.Fatalf("got %v, want ErrUnknown", err)
+	}
+	for {
+		if _, err = c.Resume(ctx, e.Address(), r.Work, 0); errors.Is(err, api.ErrNoWork) {
+			break
+		}
+		if !errors.Is(err, api.ErrNotRun) && !errors.Is(err, api.ErrUnknown) {
+			t.Fatalf("got %v, want ErrNoWork in the end", err)
+		}
+	}
+	if held := e.Counters(false).Core.Held; held != 0 {
+		t.Fatalf("%d tokens held after death", held)
+	}
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e := start(t, func(c *engine.Config) { c.ChecksFencing, c.ModelLoadTime = checks, 0 })
+		c, ctx := client(t)
+		newer := api.Order{ID: "a", Fencing: 5, Load: []string{"judge@2"}}
+		for range 2 {
+			if err := c.Order(ctx, e.Address(), newer); err != nil {
+				t.Fatal(err)
+			}
+		}
+		err := c.Order(ctx, e.Address(), api.Order{ID: "b", Fencing: 4, Unload: []string{"judge@2"}})
+		if errors.Is(err, api.ErrFenced) != checks {
+			t.Fatalf("checks fencing %v: old order got %v", checks, err)
+		}
+		status, err := c.Status(ctx, e.Address())
+		if err != nil || (len(status.Models) == 2) != checks {
+			t.Fatalf("checks fencing %v: status %+v, %v", checks, status, err)
+		}
+		got := e.Counters(false)
+		if got.OrdersDuplicate != 1 || (got.OrdersStale == 0) != checks || (got.OrdersFenced == 1) != checks {
+			t.Fatalf("checks fencing %v: %+v", checks, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,152 @@
+package service_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/goleak"
+
+	"github.com/chestnutline/chestnutline/internal/engine"
+	"github.com/chestnutline/chestnutline/internal/httpcall"
+	api "github.com/chestnutline/chestnutline/internal/service"
+	"github.com/chestnutline/chestnutline/internal/standin/fault"
+	"github.com/chestnutline/chestnutline/internal/standin/service"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func start(t *testing.T) (*service.Service, *api.HTTPClient, context.Context) {
+	t.Helper()
+	config := service.DefaultConfig()
+	config.Service, config.Scale = "order-app", 20
+	s, err := service.Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := api.NewHTTPClient(httpcall.DefaultConfig())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(func() {
+		cancel()
+		c.Close()
+		s.Close()
+	})
+	return s, c, ctx
+}
+
+func call(i int, kind string) api.Call {
+	id := strconv.Itoa(i)
+	return api.Call{
+		Work: engine.WorkID{Request: "request-" + id, Attempt: 1}, Kind: kind,
+		IdempotencyKey: "key-" + id, Body: []byte("oats " + id),
+	}
+}
+
+func order(t *testing.T, s *service.Service, o fault.Order) {
+	t.Helper()
+	if err := s.Fault(o); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCallIsAnswered(t *testing.T) {
+	s, c, ctx := start(t)
+	sent := call(1, "order")
+	got, err := c.Call(ctx, s.Address(), sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var receipt service.Receipt
+	if err := json.Unmarshal(got.Body, &receipt); err != nil {
+		t.Fatal(err)
+	}
+	want := service.Receipt{Service: "order-app", Kind: "order", Request: "request-1", BodyHash: xxhash.Sum64(sent.Body)}
+	if receipt != want || got.Status != 200 {
+		t.Fatalf("got %+v, want %+v", receipt, want)
+	}
+	if _, err := c.Call(ctx, s.Address(), sent); err != nil {
+		t.Fatal(err)
+	}
+	if s.RunsOfKey("key-1") != 2 || s.Counters(true).Doubled != 1 {
+		t.Fatalf("a doubled action is not seen: %+v", s.Counters(true))
+	}
+	if _, err := c.Call(ctx, s.Address(), call(2, "sanction")); !errors.Is(err, api.ErrNotRun) {
+		t.Fatalf("unknown kind: got %v, want ErrNotRun", err)
+	}
+}
+
+func TestLeavingIsAnnouncedAndLateCallsAreCounted(t *testing.T) {
+	s, c, ctx := start(t)
+	order(t, s, fault.Order{Kind: fault.Leaving})
+	status, err := c.Status(ctx, s.Address())
+	if err != nil || !status.Leaving {
+		t.Fatalf("status %+v, %v", status, err)
+	}
+	if _, err := c.Call(ctx, s.Address(), call(1, "stock")); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Counters(false); got.LateWork != 1 {
+		t.Fatalf("counters %+v", got)
+	}
+}
+
+// TestNotRunMeansNotRun calls through random faults and compares each verdict
+// with the service's own count. Every call is sent once, so none may run
+// twice. The naive verdict, that a call without an answer was not run, must
+// fail the same check.
+func TestNotRunMeansNotRun(t *testing.T) {
+	s, c, ctx := start(t)
+	random := rand.New(rand.NewPCG(11, 11))
+	notRun, naiveWrong := 0, 0
+	outcomes := make([]error, 300)
+	for i := range outcomes {
+		limit := patience
+		switch random.IntN(7) {
+		case 0:
+			order(t, s, fault.Order{Kind: fault.LoseAnswer})
+		case 1:
+			order(t, s, fault.Order{Kind: fault.Drop})
+		case 2:
+			order(t, s, fault.Order{Kind: fault.Die, ForMillis: 2})
+		case 3:
+			time.AfterFunc(time.Duration(random.IntN(3000))*time.Microsecond, func() { _ = s.Fault(fault.Order{Kind: fault.Cut}) })
+		case 4:
+			order(t, s, fault.Order{Kind: fault.Silent})
+			limit = 20 * time.Millisecond
+		case 5:
+			limit = time.Duration(random.IntN(3000)) * time.Microsecond
+		}
+		limited, cancel := context.WithTimeout(ctx, limit)
+		_, outcomes[i] = c.Call(limited, s.Address(), call(i, "order"))
+		cancel()
+	}
+	for i, err := range outcomes {
+		runs := s.RunsOfRequest("request-" + strconv.Itoa(i))
+		switch {
+		case runs > 1:
+			t.Errorf("call %d was sent once and ran %d times", i, runs)
+		case err == nil && runs != 1:
+			t.Errorf("call %d was answered and ran %d times", i, runs)
+		case errors.Is(err, api.ErrNotRun):
+			notRun++
+			if runs != 0 {
+				t.Errorf("call %d was called not run and ran", i)
+			}
+		case err != nil && runs == 1:
+			naiveWrong++
+		}
+	}
+	if notRun == 0 || naiveWrong == 0 {
+		t.Fatalf("%d not run, naive verdict wrong %d times; the check proves nothing", notRun, naiveWrong)
+	}
+	t.Logf("%d of %d not run, naive verdict wrong %d times", notRun, len(outcomes), naiveWrong)
+}
