Let reports and events rise over an engine's death, run frozen requests late

A host that drops reports with old numbers would never hear again of an engine that died and came back with numbers from 1. A request that a frozen stand-in holds back now runs after the thaw although its caller has gone, as it does in a paused process; that is the case in which a late start must meet a remembered cancel.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -107,10 +107,12 @@
 	})
 }
 
-// Resume implements Client. It opens a connection of its own.
+// Resume implements Client. It opens a connection of its own and discards the
+// idle ones, since the stream's may not be the only one that is silent.
 func (c *HTTPClient) Resume(ctx context.Context, address string, work WorkID, offset int) (Stream, error) {
 	path := PathStreams + "/" + url.PathEscape(work.Request) + "/" +
 		strconv.FormatUint(uint64(work.Attempt), 10) + "?offset=" + strconv.Itoa(offset)
+	c.calls.Suspect(address)
 	return c.stream(ctx, httpcall.Call{Method: http.MethodGet, Address: address, Path: path, Fresh: true})
 }
 
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// Suspect closes the idle connections to an address, for a caller who has
+// found one of its connections silent.
+func (c *Client) Suspect(address string) {
+	c.pool(address).CloseIdleConnections()
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/standin/batch/config.go
+++ b/internal/standin/batch/config.go
@@ -41,6 +41,9 @@
 	EventLoss float64
 	// KeepEvents is how many cache events can be asked for again.
 	KeepEvents int
+	// FirstSequence is the number of the first cache event. An engine that
+	// starts anew must begin above all that it gave before.
+	FirstSequence uint64
 	// Seed drives the loss of events.
 	Seed uint64
 }
@@ -60,6 +63,7 @@
 		EventDelay:    500 * time.Millisecond,
 		EventLoss:     0.01,
 		KeepEvents:    16_384,
+		FirstSequence: 1,
 		Seed:          1,
 	}
 }
@@ -80,6 +84,7 @@
 	positive("MaxWaiting", c.MaxWaiting > 0)
 	positive("KeepCancelled", c.KeepCancelled > 0)
 	positive("KeepEvents", c.KeepEvents > 0)
+	positive("FirstSequence", c.FirstSequence > 0)
 	if c.EventLoss < 0 || c.EventLoss > 1 {
 		l.Add("EventLoss", "must be from 0 to 1")
 	}
--- a/internal/standin/batch/events.go
+++ b/internal/standin/batch/events.go
@@ -25,6 +25,7 @@
 func newEventLog(c Config) *eventLog {
 	return &eventLog{
 		keep: c.KeepEvents, delay: c.EventDelay, loss: c.EventLoss,
+		last:   c.FirstSequence - 1,
 		random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,7 +25,6 @@
 
 	mu      sync.Mutex
 	life    *life // nil while dead
-	lives   uint64
 	closed  bool
 	pending sync.WaitGroup
 }
@@ -74,8 +73,7 @@
 		return errors.Wrapf(err, "listen on %s", e.address)
 	}
 	e.address = listener.Addr().String()
-	e.lives++
-	e.life = newLife(e, e.lives, listener)
+	e.life = newLife(e, listener)
 	e.life.start()
 	return nil
 }
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -259,3 +259,56 @@
 		}
 	}
 }
+
+// TestFrozenEngineRunsLateRequests lets a host give up on a frozen engine: the
+// cancel that comes after the thaw must not leave the late work behind.
+func TestFrozenEngineRunsLateRequests(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	for i := range 20 {
+		order(t, e, fault.Order{Kind: fault.Freeze, ForMillis: 30})
+		r := request(i, "comment", 100_000)
+		limited, cancel := context.WithTimeout(ctx, 5*time.Millisecond)
+		_, err := c.Generate(limited, e.Address(), r)
+		cancel()
+		if !errors.Is(err, api.ErrUnknown) && !errors.Is(err, api.ErrNotRun) {
+			t.Fatalf("got %v from a frozen engine", err)
+		}
+		if err := c.Cancel(ctx, e.Address(), r.Work); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if held := e.Counters(false).Core.Held; held != 0 {
+		t.Fatalf("%d tokens held after all were cancelled", held)
+	}
+}
+
+func TestReportsAndEventsRiseOverDeath(t *testing.T) {
+	e := start(t, func(c *engine.Config) { c.Batch.EventDelay, c.Batch.EventLoss = 0, 0 })
+	c, ctx := client(t)
+	var lastReport, lastEvent uint64
+	for i := range 3 {
+		r := request(i, strings.Repeat("word", 600), 1)
+		s, err := c.Generate(ctx, e.Address(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAll(t, s, r, 0)
+		load, err := c.Load(ctx, e.Address())
+		if err != nil || load.Sequence <= lastReport {
+			t.Fatalf("report %d after %d, %v", load.Sequence, lastReport, err)
+		}
+		events, err := c.CacheEvents(ctx, e.Address(), lastEvent+1)
+		if err != nil || len(events.Events) != 1 || events.Events[0].Prefix != api.PrefixChain(r.Prompt, 0)[0] {
+			t.Fatalf("events %+v, %v", events, err)
+		}
+		lastReport, lastEvent = load.Sequence, events.Events[0].Sequence
+		order(t, e, fault.Order{Kind: fault.Die, ForMillis: 1})
+		for err == nil {
+			_, err = c.Resume(ctx, e.Address(), r.Work, 0)
+		}
+		for !errors.Is(err, api.ErrNoWork) && ctx.Err() == nil {
+			_, err = c.Resume(ctx, e.Address(), r.Work, 0)
+		}
+	}
+}
--- a/internal/standin/engine/life.go
+++ b/internal/standin/engine/life.go
@@ -22,7 +22,6 @@
 // life is everything that an engine loses when it dies.
 type life struct {
 	engine   *Engine
-	number   uint64
 	began    time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -38,16 +37,18 @@
 	report api.Load
 }
 
-func newLife(e *Engine, number uint64, listener net.Listener) *life {
+func newLife(e *Engine, listener net.Listener) *life {
 	l := &life{
 		engine:   e,
-		number:   number,
 		began:    time.Now(),
 		listener: fault.NewListener(listener),
 		wake:     make(chan struct{}, 1),
-		core:     batch.New(e.config.Batch),
 		models:   newModels(e.config),
 	}
+	l.report.Sequence = firstSequence(l.began)
+	config := e.config.Batch
+	config.FirstSequence = l.report.Sequence
+	l.core = batch.New(config)
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.server = &http.Server{
 		Handler:           l.handler(),
@@ -57,6 +58,15 @@
 	return l
 }
 
+// sequencesPerMilli is more than an engine numbers reports or cache events in
+// a millisecond, so that the numbers of a later life are above those of an
+// earlier one.
+const sequencesPerMilli = 1 << 10
+
+func firstSequence(began time.Time) uint64 {
+	return uint64(began.UnixMilli()) * sequencesPerMilli
+}
+
 func (l *life) start() {
 	l.renewReport()
 	l.spawn(func() { _ = l.server.Serve(l.listener) })
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -198,10 +198,11 @@
 }
 
 // Wrap applies the faults in force to each request that next serves, until
-// life ends.
+// life ends. A request held back runs later even if its caller has gone, as
+// it would in a process that was paused.
 func (s *Set) Wrap(life context.Context, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !s.Thawed(r.Context()) {
+		if !s.Thawed(life) {
 			panic(http.ErrAbortHandler)
 		}
 		f := s.Of(r.URL.Path)
--- a/internal/standin/service/ledger.go
+++ b/internal/standin/service/ledger.go
@@ -39,8 +39,7 @@
 	return &ledger{byKind: make(map[string]int), byRequest: make(map[string]int), byKey: make(map[string]int)}
 }
 
-// run counts one call at the moment its effect happens. Keys are counted per
-// organisation where the body carries none, so key is what the router sent.
+// run counts one call at the moment its effect happens.
 func (g *ledger) run(kind, request, key string, leavingSince time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
