Carry continued answers to engines, use connections again

Cause: a later attempt goes on at the offset that the caller has, which the adapter left out; and a stream closed right after its last piece took its connection with it, so every request dialled anew. Change: the offset and the text so far go as the assistant's message; the stand-in goes on there and counts texts that are not its prompt's answer. What follows the last piece is read before that piece is returned, within 20 ms. Tests: continued answers are checked token by token; 20 requests one after another use at most 4 connections.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -56,6 +57,9 @@
 // Next implements Stream. A stream that ends without its last piece returns
 // ErrUnknown.
 func (s *eventStream) Next() (Piece, error) {
+	if s.finished {
+		return Piece{}, io.EOF
+	}
 	isError := false
 	for {
 		line, err := s.line()
@@ -76,24 +80,29 @@
 		return Piece{}, streamFault(data)
 	}
 	if string(data) == doneMark {
-		return Piece{}, s.end()
+		return Piece{}, fault{kinds: []error{ErrUnknown}, text: "read stream", cause: errors.New("stream ended before its last piece")}
 	}
 	p, err := parsePiece(data, s.last)
 	if err != nil {
 		return Piece{}, fault{kinds: []error{ErrUnknown}, text: "read stream", cause: err}
 	}
 	s.last = p.Work
-	s.finished = s.finished || p.Finish != ""
+	if p.Finish != "" {
+		s.finished = true
+		s.drain()
+	}
 	return p, nil
 }
 
-// end reads up to the end of the body, so that the connection can be reused.
-func (s *eventStream) end() error {
-	if !s.finished {
-		return fault{kinds: []error{ErrUnknown}, text: "read stream", cause: errors.New("stream ended before its last piece")}
-	}
-	_, _ = s.lines.ReadByte()
-	return io.EOF
+// drainTimeout bounds the wait for what follows the last piece.
+const drainTimeout = 20 * time.Millisecond
+
+// drain reads what follows the last piece, which mostly came with it, so that
+// the connection can be used again.
+func (s *eventStream) drain() {
+	timer := time.AfterFunc(drainTimeout, s.cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, s.lines)
 }
 
 func streamFault(data []byte) error {
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -21,9 +21,19 @@
 	Deadline     time.Time `json:"deadline"`
 	Group        []string  `json:"group,omitempty"`
 	Stream       bool      `json:"stream"`
-	Messages     []Message `json:"messages"`
+	// Offset is the number of tokens of the assistant's message, if there is one.
+	Offset int `json:"offset,omitempty"`
+	// Messages are the user's prompt and, to continue an answer that another
+	// attempt began, the assistant's text so far.
+	Messages []Message `json:"messages"`
 }
 
+// Roles of messages.
+const (
+	RoleUser      = "user"
+	RoleAssistant = "assistant"
+)
+
 // Message is one message of a ChatRequest.
 type Message struct {
 	Role    string `json:"role"`
@@ -53,6 +63,7 @@
 
 const (
 	messagesHead = `"messages":[{"role":"user","content":`
+	messagesNext = `},{"role":"assistant","content":`
 	messagesTail = `}]}`
 )
 
@@ -62,7 +73,7 @@
 	head, err := json.Marshal(ChatRequest{
 		Work: r.Work, Owner: r.Owner, Model: r.Model, PromptTokens: r.PromptTokens,
 		MaxTokens: r.MaxTokens, Priority: r.Priority, Deadline: r.Deadline,
-		Group: r.Group, Stream: true,
+		Group: r.Group, Stream: true, Offset: r.Offset,
 	})
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "encode request")
@@ -71,15 +82,12 @@
 	if !found {
 		return nil, 0, errors.New("encode request: messages are not last")
 	}
-	content, quote := r.Prompt, `"`
-	if !isPlain(r.Prompt) {
-		quoted, err := json.Marshal(r.Prompt)
-		if err != nil {
-			return nil, 0, errors.Wrap(err, "encode prompt")
-		}
-		content, quote = string(quoted), ""
+	parts := append([]string{start, messagesHead}, quoted(r.Prompt)...)
+	if r.Offset > 0 {
+		parts = append(parts, messagesNext)
+		parts = append(parts, quoted(r.Delivered)...)
 	}
-	parts := []string{start + messagesHead + quote, content, quote + messagesTail}
+	parts = append(parts, messagesTail)
 	readers := make([]io.Reader, len(parts))
 	length := 0
 	for i, p := range parts {
@@ -89,6 +97,16 @@
 	return io.MultiReader(readers...), int64(length), nil
 }
 
+// quoted returns s as a JSON string in parts, s itself one of them if it may
+// stand as it is.
+func quoted(s string) []string {
+	if isPlain(s) {
+		return []string{`"`, s, `"`}
+	}
+	escaped, _ := json.Marshal(s) // a string never fails to encode
+	return []string{string(escaped)}
+}
+
 // isPlain reports whether s may stand between quotes in JSON as it is.
 func isPlain(s string) bool {
 	ascii := true
--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -23,7 +23,10 @@
 func TestRequestSurvivesEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := Request{Work: WorkID{Request: "r1", Attempt: 2}, Model: "judge@1", Prompt: rapid.String().Draw(t, "prompt"), MaxTokens: 3}
-		if !utf8.ValidString(sent.Prompt) {
+		if sent.Offset = rapid.IntRange(0, 2).Draw(t, "offset"); sent.Offset > 0 {
+			sent.Delivered = rapid.String().Draw(t, "delivered")
+		}
+		if !utf8.ValidString(sent.Prompt + sent.Delivered) {
 			t.Skip("not UTF-8")
 		}
 		body, length, err := encodeRequest(sent)
@@ -38,7 +41,10 @@
 		if err := json.Unmarshal(data, &got); err != nil {
 			t.Fatal(err)
 		}
-		if len(got.Messages) != 1 || got.Messages[0].Content != sent.Prompt || got.Work != sent.Work {
+		if got.Messages[0] != (Message{RoleUser, sent.Prompt}) || got.Work != sent.Work || got.Offset != sent.Offset {
+			t.Fatalf("got %+v", got)
+		}
+		if sent.Offset > 0 && got.Messages[1] != (Message{RoleAssistant, sent.Delivered}) || sent.Offset == 0 && len(got.Messages) != 1 {
 			t.Fatalf("got %+v", got)
 		}
 	})
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -119,3 +119,54 @@
 		}
 	}
 }
+
+func TestContinuedAnswerIsWhole(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	for offset := 1; offset < 10; offset++ {
+		r := request(offset, "thread", 10)
+		r.Offset, r.Delivered = offset, string(answer.Append(nil, answer.PromptHash(r.Prompt), 0, offset))
+		s, err := c.Generate(ctx, e.Address(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAll(t, s, r, offset)
+		if got := e.Counters(false); got.ForeignText != 0 || got.Core.Held != 0 {
+			t.Fatalf("counters %+v", got)
+		}
+	}
+	wrong := request(10, "thread", 10)
+	wrong.Offset, wrong.Delivered = 1, "none"
+	s, err := c.Generate(ctx, e.Address(), wrong)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, s, wrong, 1)
+	if got := e.Counters(false); got.ForeignText != 1 {
+		t.Fatal("a foreign text is not counted")
+	}
+}
+
+// TestConnectionsAreUsedAgain closes each stream right after its last piece,
+// as the router does.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	for i := range 20 {
+		s, err := c.Generate(ctx, e.Address(), request(i, "comment", 3))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for finish := ""; finish == ""; {
+			p, err := s.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			finish = p.Finish
+		}
+		_ = s.Close()
+	}
+	if n := e.Counters(false).Connections; n > 4 {
+		t.Fatalf("%d connections for 20 requests one after another", n)
+	}
+}
--- a/internal/standin/engine/feed.go
+++ b/internal/standin/engine/feed.go
@@ -11,14 +11,18 @@
 // deliver it. The text itself follows from the prompt's hash.
 type feed struct {
 	promptHash uint64
+	// base is the index in the answer of the first token produced.
+	base int
 
 	mu       sync.Mutex
 	progress batch.Progress
 	waiters  []chan struct{}
 }
 
-// Update implements batch.Observer.
+// Update implements batch.Observer. From then on tokens count from the
+// answer's beginning.
 func (f *feed) Update(p batch.Progress) {
+	p.Produced += f.base
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.progress = p
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	return l.deliver(c, f, r.Work, 0)
+	return l.deliver(c, f, r.Work, r.Offset)
 }
 
 func checkRequest(r api.ChatRequest) error {
@@ -35,10 +35,14 @@
 		return badRequest("work.request: must be 1 to 128 letters, digits, '-', '_' or '.'")
 	case !r.Stream:
 		return badRequest("stream: must be true")
-	case len(r.Messages) != 1 || r.Messages[0].Content == "":
-		return badRequest("messages: must be one message with content")
-	case r.PromptTokens <= 0 || r.MaxTokens <= 0:
-		return badRequest("prompt_tokens, max_tokens: must be above 0")
+	case len(r.Messages) == 0 || r.Messages[0].Content == "":
+		return badRequest("messages: must begin with one that has content")
+	case len(r.Messages) != 1 && (len(r.Messages) != 2 || r.Offset == 0):
+		return badRequest("messages: must be one, or two with an offset")
+	case r.Offset < 0 || r.Offset > 0 && len(r.Messages) != 2:
+		return badRequest("offset: needs the text up to it as second message")
+	case r.PromptTokens <= 0 || r.MaxTokens <= r.Offset:
+		return badRequest("prompt_tokens: must be above 0, max_tokens above offset")
 	}
 	return nil
 }
@@ -59,14 +63,18 @@
 // accept submits the work, and starts the leader's duties for a group.
 func (l *life) accept(r api.ChatRequest) (*feed, error) {
 	prompt := r.Messages[0].Content
-	f := &feed{promptHash: answer.PromptHash(prompt)}
+	f := &feed{promptHash: answer.PromptHash(prompt), base: r.Offset}
+	f.progress.Produced = r.Offset
+	if r.Offset > 0 && r.Messages[1].Content != string(answer.Append(nil, f.promptHash, 0, r.Offset)) {
+		l.engine.ledger.foreign()
+	}
 	s := batch.Submission{
 		Work: r.Work, Owner: r.Owner, Deadline: r.Deadline, Priority: r.Priority,
-		Prompt: r.PromptTokens, MaxTokens: r.MaxTokens, Observer: f,
+		Prompt: r.PromptTokens + r.Offset, MaxTokens: r.MaxTokens - r.Offset, Observer: f,
 	}
 	if len(r.Group) > 1 {
 		s.Leader = true
-		s.Prompt = Share(r.PromptTokens, len(r.Group))
+		s.Prompt = Share(s.Prompt, len(r.Group))
 	} else {
 		s.Chain = api.PrefixChain(prompt, 0)
 	}
@@ -111,8 +119,8 @@
 	if f == nil {
 		return refusal{http.StatusNotFound, api.CodeNoWork, "no such work"}
 	}
-	if p := f.now(); p.Finish != "" && offset > p.Produced {
-		return badRequest("offset: is beyond the answer")
+	if p := f.now(); offset < f.base || (p.Finish != "" && offset > p.Produced) {
+		return badRequest("offset: is not in this attempt's part of the answer")
 	}
 	return l.deliver(c, f, work, offset)
 }
--- a/internal/standin/engine/group.go
+++ b/internal/standin/engine/group.go
@@ -79,7 +79,7 @@
 // the member let go of it.
 func (l *life) prefillMember(ctx context.Context, member string, r api.ChatRequest, results chan<- error) {
 	resp, err := l.postMember(ctx, member, api.PathPrefill, api.PrefillRequest{
-		Work: r.Work, Tokens: Share(r.PromptTokens, len(r.Group)), Priority: r.Priority,
+		Work: r.Work, Tokens: Share(r.PromptTokens+r.Offset, len(r.Group)), Priority: r.Priority,
 	})
 	if err != nil {
 		results <- err
--- a/internal/standin/engine/ledger.go
+++ b/internal/standin/engine/ledger.go
@@ -24,6 +24,11 @@
 	// last of them came, in milliseconds after the sign.
 	LateWork       int   `json:"work_while_leaving"`
 	LateWorkMillis int64 `json:"last_work_while_leaving_ms"`
+	// ForeignText counts works that were to continue a text which is not the
+	// beginning of their prompt's answer.
+	ForeignText int `json:"foreign_text"`
+	// Connections counts connections accepted since the engine last came to life.
+	Connections int `json:"connections"`
 	// Runs counts the works accepted per request id; only on demand.
 	Runs map[string]int `json:"runs,omitempty"`
 }
@@ -48,6 +53,12 @@
 	}
 }
 
+func (g *ledger) foreign() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counters.ForeignText++
+}
+
 func (g *ledger) ordered(result orderResult) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -78,7 +89,7 @@
 	e.ledger.mu.Unlock()
 	out.Name, out.Address = e.Name(), e.Address()
 	if l := e.current(); l != nil {
-		out.Alive = true
+		out.Alive, out.Connections = true, l.listener.Accepted()
 		l.withCore(func(core *batch.Engine, _ time.Duration) { out.Core = core.Counters() })
 	}
 	return out
--- a/internal/standin/fault/listener.go
+++ b/internal/standin/fault/listener.go
@@ -9,8 +9,9 @@
 // Listener knows its open connections, so that they can be silenced or closed.
 type Listener struct {
 	net.Listener
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	accepted int
 }
 
 // NewListener wraps a listener.
@@ -27,10 +28,18 @@
 	c := &conn{Conn: accepted, listener: l}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
+	l.accepted++
 	l.mu.Unlock()
 	return c, nil
 }
 
+// Accepted returns how many connections were accepted.
+func (l *Listener) Accepted() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.accepted
+}
+
 // Silence makes every connection open now lose all that passes either way,
 // and stay open.
 func (l *Listener) Silence() {
