--- /dev/null
+++ b/internal/standin/engine/models_test.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	api "github.com/chestnutline/chestnutline/internal/engine"
+)
+
+func TestModelNames(t *testing.T) {
+	m := newModels(Config{Models: []string{"judge@1", "judge@1+lima", "desk@3+accra"}})
+	served := map[string]bool{
+		"judge": true, "judge@1": true, "judge+lima": true, "judge@1+lima": true, "desk+accra": true,
+		"judge@2": false, "judge+accra": false, "desk": false, "desk@3": false, "": false, "judg": false,
+	}
+	for name, want := range served {
+		if got := m.serves(0, name); got != want {
+			t.Errorf("serves %q: %v", name, got)
+		}
+	}
+}
+
+func TestLoadsTakeTheirTimeOneAfterAnother(t *testing.T) {
+	m := newModels(Config{ModelLoadTime: time.Second})
+	m.take(0, api.Order{ID: "a", Load: []string{"judge@1", "judge@2"}})
+	for at, want := range map[time.Duration]int{0: 0, time.Second: 1, 2 * time.Second: 2} {
+		if got := len(m.loaded(at)); got != want || len(m.loading(at)) != 2-want {
+			t.Errorf("%d models loaded at %v, want %d", got, at, want)
+		}
+	}
+}
+
+func TestDeadlinePassedReleasesOnlyWhereSet(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		c := DefaultConfig()
+		c.ReleaseAtDeadline, c.ReportEvery = on, time.Millisecond
+		e, err := Start(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := e.current()
+		l.mu.Lock()
+		err = l.core.Reserve(l.now(), api.Reservation{Work: api.WorkID{Request: "r"}, Tokens: 10, Deadline: time.Now()})
+		before := l.report.Sequence
+		l.mu.Unlock()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for passed := false; !passed; time.Sleep(time.Millisecond) {
+			l.mu.Lock()
+			passed = l.report.Sequence > before+1
+			l.mu.Unlock()
+		}
+		if held := e.Counters(false).Core.Held; (held == 0) != on {
+			t.Errorf("release at deadline %v: %d tokens held", on, held)
+		}
+		e.Close()
+	}
+}
