--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -82,3 +82,26 @@
 		}
 	})
 }
+
+func BenchmarkPiece(b *testing.B) {
+	p := Piece{Work: WorkID{Request: "a-1-000001", Attempt: 1}, Offset: 123, Tokens: 1, Text: "vkk7"}
+	event := AppendPiece(nil, p)
+	data := event[len("data: ") : len(event)-2]
+	b.Run("scan", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := parsePiece(data, p.Work); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			var c chunk
+			if err := json.Unmarshal(data, &c); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/standin/batch/batch_test.go
+++ b/internal/standin/batch/batch_test.go
@@ -253,3 +253,23 @@
 		}
 	}
 }
+
+func BenchmarkStep(b *testing.B) {
+	for _, running := range []int{1, 32, 128} {
+		b.Run(strconv.Itoa(running), func(b *testing.B) {
+			c := batch.DefaultConfig()
+			c.MemoryTokens = 1 << 50
+			e := batch.New(c)
+			for i := range running {
+				if err := e.Submit(0, batch.Submission{Work: work(i), Prompt: 1, MaxTokens: 1 << 40}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				e.Plan(0)
+				e.Apply(0)
+			}
+		})
+	}
+}
