--- a/cmd/chestnut-standin/engines.go
+++ b/cmd/chestnut-standin/engines.go
@@ -29,7 +29,7 @@
 	PrefillRate   float64       `env:"CHESTNUT_ENGINE_PREFILL_RATE" flag:"prefill-rate" default:"160000" help:"prompt tokens a second"`
 	ChunkTokens   int           `env:"CHESTNUT_ENGINE_CHUNK_TOKENS" flag:"chunk-tokens" default:"4096" help:"most prompt tokens in a step"`
 	MaxBatch      int           `env:"CHESTNUT_ENGINE_MAX_BATCH" flag:"max-batch" default:"128" help:"most sequences in a step"`
-	MaxWaiting    int           `env:"CHESTNUT_ENGINE_MAX_WAITING" flag:"max-waiting" default:"1024" help:"most works queued"`
+	MaxWaiting    int           `env:"CHESTNUT_ENGINE_MAX_WAITING" flag:"max-waiting" default:"1024" help:"most works whose prompt is not yet processed"`
 	MemoryTokens  int           `env:"CHESTNUT_ENGINE_MEMORY_TOKENS" flag:"memory-tokens" default:"400000" help:"KV memory in tokens"`
 	KeepFinished  time.Duration `env:"CHESTNUT_ENGINE_KEEP_FINISHED" flag:"keep-finished" default:"10s" help:"time for which a finished answer can be resumed, not scaled"`
 	EventDelay    time.Duration `env:"CHESTNUT_ENGINE_EVENT_DELAY" flag:"event-delay" default:"500ms" help:"delay of cache events"`
--- /dev/null
+++ b/internal/engine/http_test.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/chestnutline/chestnutline/internal/httpcall"
+)
+
+// allErrors are the errors that an answer can mean.
+var allErrors = []error{ErrNotRun, ErrNoMemory, ErrUnknown, ErrFailed, ErrNoWork, ErrFenced}
+
+// TestOnlyKnownCodesProve checks what each answer means, and what it does not.
+func TestOnlyKnownCodesProve(t *testing.T) {
+	cases := map[string][]error{
+		`{"error":{"code":"no_memory"}}`:        {ErrNotRun, ErrNoMemory},
+		`{"error":{"code":"queue_full"}}`:       {ErrNotRun},
+		`{"error":{"code":"leaving"}}`:          {ErrNotRun},
+		`{"error":{"code":"model_not_loaded"}}`: {ErrNotRun},
+		`{"error":{"code":"cancelled"}}`:        {ErrNotRun},
+		`{"error":{"code":"bad_request"}}`:      {ErrNotRun},
+		`{"error":{"code":"duplicate"}}`:        {ErrUnknown},
+		`{"error":{"code":"no_work"}}`:          {ErrNoWork},
+		`{"error":{"code":"fenced"}}`:           {ErrFenced},
+		`{"error":{"code":"failed"}}`:           {ErrFailed},
+		`{"error":{"code":"unheard-of"}}`:       {ErrUnknown},
+		`{"error":{"code":"no_mem`:              {ErrUnknown},
+		`Bad Gateway`:                           {ErrUnknown},
+		``:                                      {ErrUnknown},
+	}
+	for body, want := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, body)
+		}))
+		c := NewHTTPClient(httpcall.DefaultConfig())
+		_, err := c.Generate(context.Background(), strings.TrimPrefix(server.URL, "http://"), Request{Prompt: "x"})
+		c.Close()
+		server.Close()
+		for _, one := range allErrors {
+			wanted := false
+			for _, w := range want {
+				wanted = wanted || w == one
+			}
+			if errors.Is(err, one) != wanted {
+				t.Errorf("%q: %v, is %v: %v", body, err, one, !wanted)
+			}
+		}
+	}
+}
+
+// TestStreamEndsOnlyAfterItsLastPiece reads streams that are cut or garbled.
+func TestStreamEndsOnlyAfterItsLastPiece(t *testing.T) {
+	piece := string(AppendPiece(nil, Piece{Work: WorkID{Request: "r"}, Tokens: 1, Text: "abcd"}))
+	last := string(AppendPiece(nil, Piece{Work: WorkID{Request: "r"}, Offset: 1, Tokens: 1, Text: "abcd", Finish: FinishLength}))
+	cases := []struct {
+		name, body string
+		want       error
+	}{
+		{"whole", piece + last + DoneEvent, io.EOF},
+		{"without the mark at the end", piece + last, io.EOF},
+		{"with comments and other fields", ": hello\n\nid: 4\nretry: 5\n" + piece + last, io.EOF},
+		{"with CRLF", strings.ReplaceAll(piece+last, "\n", "\r\n"), io.EOF},
+		{"laid out otherwise", strings.ReplaceAll(piece+last, `,"offset"`, ` , "offset"`), io.EOF},
+		{"cut before the last piece", piece, ErrUnknown},
+		{"cut in a piece", piece + last[:40], ErrUnknown},
+		{"mark without a last piece", piece + DoneEvent, ErrUnknown},
+		{"garbled", piece + "data: {]\n\n" + last, ErrUnknown},
+		{"negative offset", strings.Replace(piece, `"offset":0`, `"offset":-1`, 1), ErrUnknown},
+		{"failed", piece + "event: error\ndata: {\"error\":{\"code\":\"failed\"}}\n\n", ErrFailed},
+		{"failed with an unknown code", "event: error\ndata: {\"error\":{\"code\":\"\"}}\n\n", ErrUnknown},
+		{"endless line", "data: " + strings.Repeat("x", 2*maxEventBytes), ErrUnknown},
+	}
+	for _, one := range cases {
+		s := newEventStream(io.NopCloser(strings.NewReader(one.body)), func() {})
+		var err error
+		for err == nil {
+			_, err = s.Next()
+		}
+		if !errors.Is(err, one.want) {
+			t.Errorf("%s: got %v, want %v", one.name, err, one.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/http_test.go
@@ -0,0 +1,57 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/chestnutline/chestnutline/internal/httpcall"
+	"github.com/chestnutline/chestnutline/internal/service"
+)
+
+// TestOnlyTheServicesWordProves checks every kind of answer; one without the
+// service's own statement proves nothing, whatever its status.
+func TestOnlyTheServicesWordProves(t *testing.T) {
+	cases := []struct {
+		status  int
+		outcome string
+		want    error
+	}{
+		{200, "", nil},
+		{204, "", nil},
+		{404, "not_run", service.ErrNotRun},
+		{503, "not_run", service.ErrNotRun},
+		{500, "failed", service.ErrFailed},
+		{400, "", service.ErrUnknown},
+		{404, "", service.ErrUnknown},
+		{429, "", service.ErrUnknown},
+		{500, "", service.ErrUnknown},
+		{502, "", service.ErrUnknown},
+		{503, "", service.ErrUnknown},
+		{503, "unheard-of", service.ErrUnknown},
+		{307, "", service.ErrUnknown},
+	}
+	for _, one := range cases {
+		calls := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			_, _ = io.Copy(io.Discard, r.Body)
+			if one.outcome != "" {
+				w.Header().Set(service.HeaderOutcome, one.outcome)
+			}
+			w.Header().Set("Location", r.URL.Path)
+			w.WriteHeader(one.status)
+		}))
+		c := service.NewHTTPClient(httpcall.DefaultConfig())
+		_, err := c.Call(context.Background(), strings.TrimPrefix(server.URL, "http://"), service.Call{Kind: "order", Body: []byte("oats")})
+		c.Close()
+		server.Close()
+		if !errors.Is(err, one.want) || calls != 1 {
+			t.Errorf("status %d, outcome %q: got %v after %d calls, want %v", one.status, one.outcome, err, calls, one.want)
+		}
+	}
+}
--- a/internal/standin/batch/config.go
+++ b/internal/standin/batch/config.go
@@ -27,7 +27,8 @@
 	ChunkTokens int
 	// MemoryTokens is the KV memory in tokens, shared by works and the cache.
 	MemoryTokens int
-	// MaxWaiting is the most works that wait for a place in the batch.
+	// MaxWaiting is the most works whose prompt is not yet processed. More
+	// queues in the engine, fewer refuses earlier.
 	MaxWaiting int
 	// KeepFinished is how long a finished answer can still be resumed. Longer
 	// survives longer silences, shorter remembers fewer works.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -23,6 +23,8 @@
 		if l := e.current(); l != nil {
 			l.listener.CloseConnections()
 		}
+	case fault.Fail:
+		e.failAll()
 	case fault.RefuseMemory:
 		e.refuseMemory(order.Lasts())
 	default:
@@ -37,6 +39,17 @@
 	return nil
 }
 
+// failAll ends every work with an error.
+func (e *Engine) failAll() {
+	if l := e.current(); l != nil {
+		l.withCore(func(core *batch.Engine, now time.Duration) {
+			for _, w := range core.Works() {
+				core.Fail(now, w.Work)
+			}
+		})
+	}
+}
+
 func (e *Engine) refuseMemory(lasts time.Duration) {
 	e.setRefusing(true)
 	if lasts > 0 {
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -315,3 +315,20 @@
 		}
 	}
 }
+
+func TestFailedWorkIsFailed(t *testing.T) {
+	e := start(t, nil)
+	c, ctx := client(t)
+	s, err := c.Generate(ctx, e.Address(), request(1, "comment", 100_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	readSome(t, s, 1)
+	order(t, e, fault.Order{Kind: fault.Fail})
+	if _, err := readToEnd(s); !errors.Is(err, api.ErrFailed) {
+		t.Fatalf("got %v, want ErrFailed", err)
+	}
+	if held := e.Counters(false).Core.Held; held != 0 {
+		t.Fatalf("%d tokens held by a failed work", held)
+	}
+}
--- a/internal/standin/engine/models_test.go
+++ b/internal/standin/engine/models_test.go
@@ -57,3 +57,29 @@
 		e.Close()
 	}
 }
+
+func TestReportLags(t *testing.T) {
+	c := DefaultConfig()
+	c.ReportEvery = time.Hour
+	e, err := Start(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	l := e.current()
+	reserve := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if err := l.core.Reserve(l.now(), api.Reservation{Work: api.WorkID{Request: "r"}, Tokens: 10}); err != nil {
+			t.Fatal(err)
+		}
+		return l.report.MemoryUsed
+	}
+	if used := reserve(); used != 0 {
+		t.Fatalf("report shows %d tokens at once", used)
+	}
+	l.renewReport()
+	if used := reserve(); used != 10 {
+		t.Fatalf("renewed report shows %d tokens, want 10", used)
+	}
+}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -31,6 +31,9 @@
 	Drop = "drop"
 	// Delay holds each request back by DelayMillis before it is run.
 	Delay = "delay"
+	// Fail makes an engine's works end with an error now, and a service report
+	// failure of the next Count calls that it has run.
+	Fail = "fail"
 	// RefuseMemory refuses all new memory for ForMillis, 0 until cleared.
 	RefuseMemory = "refuse_memory"
 	// Leaving announces that the stand-in is about to go.
@@ -69,6 +72,7 @@
 	thawAt  time.Time
 	drop    counted
 	lose    counted
+	fail    counted
 	delay   time.Duration
 	path    string    // of delay
 	until   time.Time // of delay, zero for no end
@@ -89,7 +93,7 @@
 }
 
 // Apply puts an order in force if its kind is one that a Set handles:
-// Freeze, LoseAnswer, Drop, Delay, Leaving and Clear.
+// Freeze, LoseAnswer, Drop, Fail, Delay, Leaving and Clear.
 func (s *Set) Apply(o Order) error {
 	if o.Kind == Freeze {
 		return s.freeze(o.Lasts())
@@ -101,6 +105,8 @@
 		s.lose = counted{left: max(o.Count, 1), path: o.Path}
 	case Drop:
 		s.drop = counted{left: max(o.Count, 1), path: o.Path}
+	case Fail:
+		s.fail = counted{left: max(o.Count, 1), path: o.Path}
 	case Delay:
 		s.setDelay(o)
 	case Leaving:
@@ -127,7 +133,7 @@
 		close(s.thaw)
 		s.thaw = nil
 	}
-	s.drop, s.lose = counted{}, counted{}
+	s.drop, s.lose, s.fail = counted{}, counted{}, counted{}
 	s.delay, s.until, s.leaving = 0, time.Time{}, time.Time{}
 }
 
@@ -197,6 +203,13 @@
 	return f
 }
 
+// Fails decides whether a call that was run is to be reported as failed.
+func (s *Set) Fails(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fail.hit(path)
+}
+
 // Wrap applies the faults in force to each request that next serves, until
 // life ends. A request held back runs later even if its caller has gone, as
 // it would in a process that was paused.
--- a/internal/standin/service/handler.go
+++ b/internal/standin/service/handler.go
@@ -74,7 +74,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.ledger.run(kind, request, header.Get(service.HeaderKey), s.faults.LeavingSince())
-	return c.JSON(http.StatusOK, Receipt{
+	status := http.StatusOK
+	if s.faults.Fails(c.Request().URL.Path) {
+		status = http.StatusInternalServerError
+		c.Response().Header().Set(service.HeaderOutcome, service.OutcomeFailed)
+	}
+	return c.JSON(status, Receipt{
 		Service: s.config.Service, Kind: kind, Request: request, BodyHash: xxhash.Sum64(body),
 	})
 }
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -156,3 +156,12 @@
 	}
 	t.Logf("%d of %d not run, naive verdict wrong %d times", notRun, len(outcomes), naiveWrong)
 }
+
+func TestFailedCallIsFailed(t *testing.T) {
+	s, c, ctx := start(t)
+	order(t, s, fault.Order{Kind: fault.Fail})
+	answer, err := c.Call(ctx, s.Address(), call(1, "order"))
+	if !errors.Is(err, api.ErrFailed) || answer.Status != 500 || s.RunsOfRequest("request-1") != 1 {
+		t.Fatalf("got %+v, %v", answer, err)
+	}
+}
