--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -29,7 +29,9 @@
 type command struct {
 	sub     *flaggy.Subcommand
 	binding *settings.Binding
-	run     func(log.Interface, *run.Group) error
+	// check finds problems that the settings' own checks leave out; nil for none.
+	check func() finding.List
+	run   func(log.Interface, *run.Group) error
 }
 
 func main() {
@@ -63,8 +65,12 @@
 }
 
 func (c command) start() int {
-	if findings := c.binding.Resolve(settings.Environ()); len(findings) > 0 {
-		return usage(findings)
+	findings := c.binding.Resolve(settings.Environ())
+	if c.check != nil {
+		findings = append(findings, c.check()...)
+	}
+	if len(findings) > 0 {
+		return usage(findings.Sorted())
 	}
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	var group run.Group
--- a/cmd/chestnut-standin/main_test.go
+++ b/cmd/chestnut-standin/main_test.go
@@ -47,7 +47,7 @@
 	cases := map[string][]string{
 		"engines --count 0 --ip 8.8.8.8 --scale 0 --step 0s": {"--count:", "--ip:", "--scale:", "--step:"},
 		"services --service bakery --control nowhere":        {"--service:", "--control:"},
-		"platform --writes-per-second -1":                    {"--writes-per-second:"},
+		"platform --writes-per-second -1 --listen 8.8.8.8:1": {"--writes-per-second:", "--listen:"},
 		"engines --count many --event-loss none":             {"--count:", "--event-loss:"},
 		"engines --unheard-of 3":                             {"Unknown arguments"},
 		"":                                                   {"subcommand"},
--- a/cmd/chestnut-standin/platform.go
+++ b/cmd/chestnut-standin/platform.go
@@ -17,16 +17,16 @@
 	sub.Description = "runs a stand-in of the platform's object API and host list"
 	return command{
 		sub: sub, binding: settings.Bind(sub, s),
+		check: func() finding.List {
+			var findings finding.List
+			checkLoopback(&findings, "--listen", s.Listen)
+			return findings
+		},
 		run: func(logger log.Interface, group *run.Group) error { return runPlatform(*s, logger, group) },
 	}
 }
 
 func runPlatform(config platform.Config, logger log.Interface, group *run.Group) error {
-	var findings finding.List
-	checkLoopback(&findings, "--listen", config.Listen)
-	if err := findings.Err(); err != nil {
-		return err
-	}
 	address, err := serve(group, config.Listen, platform.New(config).Handler())
 	if err != nil {
 		return err
