Take long prompts out of requests without the JSON decoder

Change: the prompt of a body laid out as the adapter writes it is cut out; all other bodies take the decoder, and a property test compares the two on changed bodies.

--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"io"
 	"os"
+	"reflect"
+	"slices"
 	"testing"
 	"unicode/utf8"
 
@@ -41,6 +43,17 @@
 		if err := json.Unmarshal(data, &got); err != nil {
 			t.Fatal(err)
 		}
+		if split, err := DecodeRequest(data); err != nil || !reflect.DeepEqual(split, got) {
+			t.Fatalf("split %+v, decoded %+v, %v", split, got, err)
+		}
+		at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+		changed := slices.Clone(data)
+		changed[at] = rapid.SampledFrom([]byte("\"{}[]:,\\x\x00")).Draw(t, "byte")
+		var decoded ChatRequest
+		strict := json.Unmarshal(changed, &decoded)
+		if split, err := DecodeRequest(changed); (err == nil) != (strict == nil) || err == nil && !reflect.DeepEqual(split, decoded) {
+			t.Fatalf("%q: split %+v, %v, decoded %+v, %v", changed, split, err, decoded, strict)
+		}
 		if got.Messages[0] != (Message{RoleUser, sent.Prompt}) || got.Work != sent.Work || got.Offset != sent.Offset {
 			t.Fatalf("got %+v", got)
 		}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"encoding/json"
+	"bytes"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,8 +15,12 @@
 
 // generate accepts a work and streams its answer.
 func (l *life) generate(c echo.Context) error {
-	var r api.ChatRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&r); err != nil {
+	body, err := readBody(c.Request())
+	if err != nil {
+		return badRequest("body: " + err.Error())
+	}
+	r, err := api.DecodeRequest(body)
+	if err != nil {
 		return badRequest("body: " + err.Error())
 	}
 	if err := checkRequest(r); err != nil {
@@ -29,6 +33,16 @@
 	return l.deliver(c, f, r.Work, r.Offset)
 }
 
+// readBody reads a body into one buffer of its announced length.
+func readBody(r *http.Request) ([]byte, error) {
+	var buf bytes.Buffer
+	if r.ContentLength > 0 && r.ContentLength <= maxBodyBytes {
+		buf.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	_, err := buf.ReadFrom(r.Body)
+	return buf.Bytes(), err
+}
+
 func checkRequest(r api.ChatRequest) error {
 	switch {
 	case !isID(r.Work.Request):
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
@@ -17,15 +18,15 @@
 	pathCounters = "/counters"
 )
 
-// maxBody bounds the body of a request.
-const maxBody = "32M"
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 32 << 20
 
 // handler routes the engine's protocol.
 func (l *life) handler() http.Handler {
 	r := echo.New()
 	r.HideBanner, r.HidePort = true, true
 	r.HTTPErrorHandler = answerError
-	r.Use(middleware.BodyLimit(maxBody))
+	r.Use(middleware.BodyLimit(strconv.Itoa(maxBodyBytes)))
 	r.POST(api.PathGenerate, l.generate)
 	r.GET(api.PathStreams+"/:request/:attempt", l.resume)
 	r.POST(api.PathReserve, l.reserve)
