--- a/internal/standin/engine/feed.go
+++ b/internal/standin/engine/feed.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"sync"
 
 	"github.com/chestnutline/chestnutline/internal/standin/batch"
@@ -10,14 +11,18 @@
 // deliver it. The text itself follows from the prompt's hash.
 type feed struct {
 	promptHash uint64
+	// base is the index in the answer of the first token produced.
+	base int
 
 	mu       sync.Mutex
 	progress batch.Progress
 	waiters  []chan struct{}
 }
 
-// Update implements batch.Observer.
+// Update implements batch.Observer. From then on tokens count from the
+// answer's beginning.
 func (f *feed) Update(p batch.Progress) {
+	p.Produced += f.base
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.progress = p
@@ -55,26 +60,17 @@
 	}
 }
 
-// await returns when the progress satisfies done, or stop closes first.
-func (f *feed) await(done func(batch.Progress) bool, stops ...<-chan struct{}) (batch.Progress, bool) {
-	w := f.subscribe()
-	defer f.unsubscribe(w)
-	var first, second <-chan struct{}
-	if len(stops) > 0 {
-		first = stops[0]
-	}
-	if len(stops) > 1 {
-		second = stops[1]
-	}
+// await returns when the progress satisfies done, or a context ends first.
+func (f *feed) await(changed <-chan struct{}, done func(batch.Progress) bool, life, caller context.Context) (batch.Progress, bool) {
 	for {
 		if p := f.now(); done(p) {
 			return p, true
 		}
 		select {
-		case <-w:
-		case <-first:
+		case <-changed:
+		case <-life.Done():
 			return f.now(), false
-		case <-second:
+		case <-caller.Done():
 			return f.now(), false
 		}
 	}
