--- /dev/null
+++ b/internal/bench/relay/relay_test.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// echo serves connections that return what they are sent.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func start(t *testing.T, target string, link *Link) *Relay {
+	t.Helper()
+	r, err := Start("127.0.0.1:0", target, link, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
+func dial(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
+func TestRelayKeepsOrderUnderJitterAndLoss(t *testing.T) {
+	target := echo(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := start(t, target, &Link{Delay: time.Millisecond, Jitter: 2 * time.Millisecond, Loss: 0.01})
+	c := dial(t, r.Address())
+	sent := make([]byte, 300_000)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	go func() {
+		_, _ = c.Write(sent)
+		_ = c.CloseWrite()
+	}()
+	got, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(sent, got) {
+		t.Fatalf("%d bytes came back changed or out of order, %d were sent", len(got), len(sent))
+	}
+	_ = c.Close()
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCutHoldsDataUntilHealed(t *testing.T) {
+	link := &Link{}
+	r := start(t, echo(t), link)
+	c := dial(t, r.Address())
+	link.Cut()
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, err := c.Read(make([]byte, 1)); err == nil {
+		t.Fatalf("%d bytes passed a cut link", n)
+	}
+	link.Heal()
+	_ = c.SetReadDeadline(time.Time{})
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCloseEndsConnections(t *testing.T) {
+	target := echo(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	link := &Link{}
+	r := start(t, target, link)
+	dial(t, r.Address())
+	link.Cut()
+	dial(t, r.Address())
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestLossAddsTheRetransmissionDelay(t *testing.T) {
+	link := &Link{Delay: time.Millisecond, Loss: 0.1}
+	random := rand.New(rand.NewPCG(1, 1))
+	lost := 0
+	const chunks = 10_000
+	for range chunks {
+		if link.delay(random, packetBytes) >= retransmitDelay {
+			lost++
+		}
+	}
+	if lost < chunks*8/100 || lost > chunks*12/100 {
+		t.Fatalf("%d of %d packets were delayed, the declared share is 0.1", lost, chunks)
+	}
+}
