--- /dev/null
+++ b/internal/bench/fleet/counts.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+)
+
+// EngineCount is what one stand-in engine has counted.
+type EngineCount struct {
+	Name  string `json:"name"`
+	Alive bool   `json:"alive"`
+	Core  struct {
+		Submitted uint64 `json:"submitted"`
+		Cached    uint64 `json:"cached_tokens"`
+		Prefilled uint64 `json:"prefilled_tokens"`
+		Finished  uint64 `json:"finished"`
+		Held      int64  `json:"memory_held_tokens"`
+	} `json:"core"`
+	OrdersTaken    int            `json:"orders_taken"`
+	OrdersStale    int            `json:"orders_stale_taken"`
+	OrdersFenced   int            `json:"orders_fenced"`
+	LateWork       int            `json:"work_while_leaving"`
+	LateWorkMillis int64          `json:"last_work_while_leaving_ms"`
+	RunsByRequest  map[string]int `json:"runs"`
+}
+
+// ServiceCount is what one stand-in service has counted.
+type ServiceCount struct {
+	Name           string         `json:"name"`
+	RunsByKind     map[string]int `json:"runs_by_kind"`
+	RunsByRequest  map[string]int `json:"runs_by_request"`
+	RunsByKey      map[string]int `json:"runs_by_key"`
+	LateWork       int            `json:"work_while_leaving"`
+	LateWorkMillis int64          `json:"last_work_while_leaving_ms"`
+}
+
+// PlatformCount is what the platform stand-in has counted.
+type PlatformCount struct {
+	Seconds float64        `json:"seconds"`
+	Calls   map[string]int `json:"calls"`
+}
+
+// Counts is what all stand-ins have counted.
+type Counts struct {
+	Engines  []EngineCount
+	Services []ServiceCount
+}
+
+// Counts reads the counters of all stand-ins; those per request and key only
+// if detailed.
+func (f *Fleet) Counts(ctx context.Context, detailed bool) (Counts, error) {
+	var all Counts
+	query := ""
+	if detailed {
+		query = "?runs=1"
+	}
+	for place := range f.Deployment.DataCentres {
+		var engines []EngineCount
+		url := "http://" + f.steering(roleEngine, place) + "/counters" + query
+		if err := f.control.call(ctx, http.MethodGet, url, nil, &engines); err != nil {
+			return Counts{}, err
+		}
+		all.Engines = append(all.Engines, engines...)
+		if len(f.UpstreamsOf(roleService, place)) == 0 {
+			continue
+		}
+		var services []ServiceCount
+		url = "http://" + f.steering(roleService, place) + "/counters" + query
+		if err := f.control.call(ctx, http.MethodGet, url, nil, &services); err != nil {
+			return Counts{}, err
+		}
+		all.Services = append(all.Services, services...)
+	}
+	return all, nil
+}
+
+// MemoryHeld is the KV memory held on all engines, in tokens.
+func (c Counts) MemoryHeld() int64 {
+	var held int64
+	for _, e := range c.Engines {
+		held += e.Core.Held
+	}
+	return held
+}
+
+// Ran reports whether any upstream ran a request.
+func (c Counts) Ran(request string) bool {
+	for _, e := range c.Engines {
+		if e.RunsByRequest[request] > 0 {
+			return true
+		}
+	}
+	for _, s := range c.Services {
+		if s.RunsByRequest[request] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ActionsDoneTwice counts the runs of actions beyond the first of each key. A
+// router that changed the key between two runs can't hide them: the runs of
+// the kinds given are also compared with the number of keys that callers used.
+func (c Counts) ActionsDoneTwice(kinds []string, keysUsed int) int {
+	byKey := make(map[string]int)
+	runs := 0
+	for _, s := range c.Services {
+		for key, n := range s.RunsByKey {
+			byKey[key] += n
+		}
+		for _, kind := range kinds {
+			runs += s.RunsByKind[kind]
+		}
+	}
+	again := 0
+	for _, n := range byKey {
+		again += n - 1
+	}
+	return max(again, runs-keysUsed)
+}
+
+// PlatformCounts reads the platform's counters.
+func (f *Fleet) PlatformCounts(ctx context.Context) (PlatformCount, error) {
+	var c PlatformCount
+	err := f.control.call(ctx, http.MethodGet, f.PlatformURL()+"/stats", nil, &c)
+	return c, err
+}
+
+// PlatformFaults are faults of the platform stand-in.
+type PlatformFaults struct {
+	Down                  bool    `json:"down"`
+	ExtraDelayMillis      int     `json:"extra_delay_ms"`
+	LoseAnswerProbability float64 `json:"lose_answer_probability"`
+	Seed                  uint64  `json:"seed"`
+}
+
+// SetPlatformFaults replaces the platform's faults.
+func (f *Fleet) SetPlatformFaults(ctx context.Context, faults PlatformFaults) error {
+	faults.Seed = f.config.Seed
+	return f.control.call(ctx, http.MethodPost, f.PlatformURL()+"/faults", faults, nil)
+}
+
+// UpstreamFault is an order for one upstream to fail.
+type UpstreamFault struct {
+	Kind      string `json:"kind"`
+	ForMillis int    `json:"for_ms,omitempty"`
+	Count     int    `json:"count,omitempty"`
+	Path      string `json:"path,omitempty"`
+}
+
+// SetUpstreamFault orders one upstream to fail.
+func (f *Fleet) SetUpstreamFault(ctx context.Context, u Upstream, fault UpstreamFault) error {
+	url := "http://" + f.steering(u.Role, u.DataCentre) + "/" + u.Role + "s/" + u.Name + "/faults"
+	return f.control.call(ctx, http.MethodPost, url, fault, nil)
+}
+
+// Leave announces that an upstream leaves: to itself, and to the platform,
+// whose list lags.
+func (f *Fleet) Leave(ctx context.Context, u Upstream) error {
+	f.mu.Lock()
+	f.leaving[u.Name] = true
+	f.mu.Unlock()
+	if err := f.SetUpstreamFault(ctx, u, UpstreamFault{Kind: "leaving"}); err != nil {
+		return err
+	}
+	return f.PublishHosts(ctx)
+}
+
+// RouterStatus is the admin address's account of a router.
+type RouterStatus struct {
+	Host          string `json:"host"`
+	DataCentre    string `json:"data_centre"`
+	ConfigVersion uint64 `json:"config_version"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+}
+
+// Status reads a router's status.
+func (f *Fleet) Status(ctx context.Context, h Host) (RouterStatus, error) {
+	var s RouterStatus
+	err := f.control.call(ctx, http.MethodGet, "http://"+h.Admin+"/status", nil, &s)
+	return s, err
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/bench/client"
+	"github.com/chestnutline/chestnutline/internal/bench/fleet"
+	"github.com/chestnutline/chestnutline/internal/bench/report"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
+)
+
+// measured is one run under way.
+type measured struct {
+	*session
+	report     *report.Report
+	capacity   workload.Capacity
+	conditions report.Conditions
+	plan       []*workload.Request
+	before     fleet.PlatformCount
+	usage      fleet.Usage
+	bytes      int64
+	started    time.Time
+}
+
+// Run measures one deployment under one policy. Without a scenario it has two
+// phases of equal length: the short prompts alone, then the same ones among
+// all others. A scenario has the second phase only, over the whole time.
+func Run(ctx context.Context, o Options) (*report.Report, error) {
+	capacity, err := workload.CapacityOf(o.Deployment.Engines, o.Engine, workload.DefaultMix())
+	if err != nil {
+		return nil, err
+	}
+	run, err := scenarioOf(o.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	duration := o.Duration
+	if run == nil {
+		duration /= 2
+	}
+	shape := workload.DefaultShape(o.Load*capacity.PromptsPerSecond, duration)
+	s, err := open(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	m := &measured{
+		session:  s,
+		capacity: capacity,
+		plan:     workload.NewPlan(o.Deployment, shape, o.Seed),
+		report:   newReport(o, capacity, shape),
+		conditions: report.Conditions{
+			LinkAllowance: 2 * o.Deployment.ClientDelay,
+			Weights:       weights(o.Deployment),
+			Capacity:      capacity,
+			Duration:      duration,
+		},
+	}
+	if err := m.measure(ctx, run); err != nil {
+		return nil, err
+	}
+	return m.report, nil
+}
+
+func newReport(o Options, c workload.Capacity, shape workload.Shape) *report.Report {
+	return &report.Report{
+		Deployment:               o.Deployment.Name,
+		Policy:                   o.Policy,
+		Scenario:                 o.Scenario,
+		Seed:                     o.Seed,
+		Seconds:                  o.Duration.Seconds(),
+		Load:                     o.Load,
+		CapacityPromptsPerSecond: c.PromptsPerSecond,
+		CapacityBound:            c.Bound,
+		OfferedPromptsPerSecond:  shape.Rate,
+		Notes:                    []string{},
+	}
+}
+
+func weights(d workload.Deployment) map[string]float64 {
+	all := make(map[string]float64)
+	for _, kind := range d.Configuration().Kinds {
+		all[kind.Name] = kind.Weight
+	}
+	return all
+}
+
+func (m *measured) measure(ctx context.Context, run scenario) error {
+	var baseline []client.Outcome
+	if run == nil {
+		baseline = m.drive(ctx, "shorts alone", workload.Baseline(m.plan))
+	}
+	if err := m.begin(ctx); err != nil {
+		return err
+	}
+	finish := m.startScenario(ctx, run)
+	outcomes := m.drive(ctx, "all prompts", m.plan)
+	m.report.Notes = append(m.report.Notes, finish()...)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if err := m.end(ctx); err != nil {
+		return err
+	}
+	m.report.Measure(m.conditions, outcomes)
+	if run == nil {
+		m.report.MeasureBaseline(baseline)
+	}
+	counts, err := m.settle(ctx)
+	if err != nil {
+		return err
+	}
+	checkCounters(m.report, m.options.Deployment, counts, append(outcomes, baseline...))
+	for _, dead := range m.unexpectedlyDead(run) {
+		m.report.Notes = append(m.report.Notes, "ended during the run: "+dead)
+	}
+	if len(outcomes) < len(m.plan) {
+		m.report.Notes = append(m.report.Notes, fmt.Sprintf("%d of %d requests were sent", len(outcomes), len(m.plan)))
+	}
+	return nil
+}
+
+func (m *measured) unexpectedlyDead(run scenario) []string {
+	if run != nil {
+		return nil
+	}
+	return m.fleet.Dead()
+}
+
+// begin notes the counters before the measured phase.
+func (m *measured) begin(ctx context.Context) error {
+	var err error
+	m.before, err = m.fleet.PlatformCounts(ctx)
+	m.usage = m.fleet.Usage()
+	m.bytes = m.fleet.Network.BytesBetween()
+	m.started = time.Now()
+	return err
+}
+
+// end turns the counters since begin into rates.
+func (m *measured) end(ctx context.Context) error {
+	passed := time.Since(m.started).Seconds()
+	after, err := m.fleet.PlatformCounts(ctx)
+	if err != nil {
+		return err
+	}
+	m.report.StoreCallsPerSecond = make(map[string]float64)
+	for kind, n := range after.Calls {
+		m.report.StoreCallsPerSecond[kind] = float64(n-m.before.Calls[kind]) / passed
+	}
+	m.report.ProcessCPUShare = m.fleet.Usage().SharesSince(m.usage)
+	between := float64(m.fleet.Network.BytesBetween()-m.bytes) / passed
+	m.report.BytesBetweenCentresPerSecond = &between
+	return nil
+}
