--- /dev/null
+++ b/internal/claim/experiment/naive_test.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/claim/shard"
+)
+
+// naive is what the claims would be without their care: it reads, then writes
+// without a condition, or takes over a claim whose time limit has passed.
+type naive struct {
+	unconditional  bool
+	takeOver       bool
+	waiting        []shard.Event
+	busy           bool
+	version        uint64
+	table          map[string]naiveEntry
+	pendingEffects []shard.Effect
+}
+
+type naiveEntry struct {
+	Token    shard.Token
+	Done     bool
+	Deadline int64
+	Outcome  shard.Outcome
+}
+
+func (n *naive) Step(_ time.Duration, event shard.Event) []shard.Effect {
+	n.pendingEffects = nil
+	switch e := event.(type) {
+	case shard.ReadDone:
+		n.read(e)
+	case shard.WriteDone:
+		n.wrote(e)
+	case shard.Claim, shard.Complete, shard.GiveBack:
+		n.waiting = append(n.waiting, e)
+	}
+	if !n.busy && len(n.waiting) > 0 {
+		n.busy = true
+		n.emit(shard.Read{})
+	}
+	return n.pendingEffects
+}
+
+func (n *naive) emit(e shard.Effect) {
+	n.pendingEffects = append(n.pendingEffects, e)
+}
+
+func (n *naive) finish(e shard.Effect) {
+	n.waiting = n.waiting[1:]
+	n.busy = false
+	n.emit(e)
+}
+
+func (n *naive) read(e shard.ReadDone) {
+	if e.Result != shard.OK && e.Result != shard.NotFound {
+		n.fail()
+		return
+	}
+	n.table = make(map[string]naiveEntry)
+	n.version = e.Version
+	if e.Result == shard.OK {
+		if err := json.Unmarshal(e.Value, &n.table); err != nil {
+			panic(err)
+		}
+	}
+	switch next := n.waiting[0].(type) {
+	case shard.Claim:
+		n.claim(next)
+	case shard.Complete:
+		n.table[name(next.ID)] = naiveEntry{Token: next.Token, Done: true, Outcome: next.Outcome}
+		n.write()
+	case shard.GiveBack:
+		delete(n.table, name(next.ID))
+		n.write()
+	}
+}
+
+func (n *naive) claim(c shard.Claim) {
+	held, ok := n.table[name(c.ID)]
+	switch {
+	case ok && held.Done:
+		n.finish(shard.Answer{Token: c.Token, Decision: shard.Done, Outcome: held.Outcome})
+	case ok && !(n.takeOver && held.Deadline < c.Wall):
+		n.finish(shard.Answer{Token: c.Token, Decision: shard.InProgress})
+	default:
+		n.table[name(c.ID)] = naiveEntry{Token: c.Token, Deadline: c.Deadline}
+		n.write()
+	}
+}
+
+func (n *naive) write() {
+	value, err := json.Marshal(n.table)
+	if err != nil {
+		panic(err)
+	}
+	base := n.version
+	if n.unconditional {
+		base = AnyBase
+	}
+	n.emit(shard.Write{Value: value, Base: base})
+}
+
+func (n *naive) wrote(e shard.WriteDone) {
+	if e.Result == shard.OK {
+		n.succeed()
+		return
+	}
+	n.fail()
+}
+
+func (n *naive) succeed() {
+	if c, ok := n.waiting[0].(shard.Claim); ok {
+		n.finish(shard.Answer{Token: c.Token, Decision: shard.Granted})
+		return
+	}
+	n.finish(shard.Recorded{Token: tokenOf(n.waiting[0])})
+}
+
+// fail refuses a claim and drops anything else.
+func (n *naive) fail() {
+	if c, ok := n.waiting[0].(shard.Claim); ok {
+		n.finish(shard.Answer{Token: c.Token, Decision: shard.Refused})
+		return
+	}
+	n.finish(shard.Recorded{Token: tokenOf(n.waiting[0]), Lost: true})
+}
+
+func tokenOf(e shard.Event) shard.Token {
+	switch f := e.(type) {
+	case shard.Complete:
+		return f.Token
+	case shard.GiveBack:
+		return f.Token
+	}
+	return shard.Token{}
+}
+
+func name(id shard.ID) string {
+	return fmt.Sprintf("%x", id)
+}
