--- /dev/null
+++ b/internal/bench/demo.go
@@ -0,0 +1,164 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/bench/client"
+	"github.com/chestnutline/chestnutline/internal/bench/report"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
+)
+
+// The demonstration's fleet.
+const (
+	demoDataCentres = 2
+	demoEngines     = 8
+	demoHosts       = 4
+	demoSpacing     = 120 * time.Millisecond
+	demoAnswer      = 64 // tokens
+)
+
+// demoPrompts are the lengths of the demonstration's prompts, in tokens.
+var demoPrompts = []int{
+	1_000, 1_500, 2_000, 1_000_000, 1_000, 3_000, 8_000, 2_500, 120_000, 1_200,
+	3_900, 20_000, 1_000, 60_000, 2_000, 450_000, 1_100, 1_900, 30_000, 3_000,
+}
+
+// DemoDeployment is the small fleet of the demonstration.
+func DemoDeployment() workload.Deployment {
+	return workload.OrderDesk().Small(demoDataCentres, demoEngines, demoHosts)
+}
+
+// Demo starts a small fleet in two data centres, sends prompts of all lengths
+// and one order that may not be repeated, twice, to two hosts. It prints every
+// outcome to w and returns an error when anything was not as promised.
+func Demo(ctx context.Context, o Options, w io.Writer) error {
+	o.Deployment = DemoDeployment()
+	s, err := open(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	outcomes := s.drive(ctx, "demo", demoPlan(o.Deployment, o.Seed))
+	counts, err := s.settle(ctx)
+	if err != nil {
+		return err
+	}
+	var r report.Report
+	r.Measure(report.Conditions{
+		LinkAllowance: 2 * o.Deployment.ClientDelay,
+		Weights:       weights(o.Deployment),
+		Duration:      time.Second,
+	}, outcomes)
+	checkCounters(&r, o.Deployment, counts, outcomes)
+	if err := printOutcomes(w, outcomes); err != nil {
+		return err
+	}
+	if err := printTTFT(w, &r); err != nil {
+		return err
+	}
+	return judgeDemo(w, &r, outcomes, counts.RunsOf(o.Deployment.Actions))
+}
+
+// demoPlan lists the demonstration's requests.
+func demoPlan(d workload.Deployment, seed uint64) []*workload.Request {
+	places := len(d.DataCentres)
+	perPlace := d.Hosts / places
+	var plan []*workload.Request
+	for i, tokens := range demoPrompts {
+		class := workload.ClassOf(tokens)
+		plan = append(plan, &workload.Request{
+			Index: i, At: time.Duration(i) * demoSpacing,
+			Class: class, Kind: d.Kinds[class],
+			Organisation: d.Organisations[i%len(d.Organisations)].Name,
+			PromptTokens: tokens, AnswerTokens: demoAnswer,
+			TextSeed: seed + uint64(i), Limit: workload.Limit(class, demoAnswer),
+			DataCentre: i % places, Host: i / places % perPlace,
+		})
+	}
+	at := demoSpacing * time.Duration(len(demoPrompts)/2)
+	for i, call := range []workload.Request{
+		{Kind: d.Lookup},
+		{Kind: d.Actions[0], Key: fmt.Sprintf("demo-%d", seed), Repeat: &workload.Repeat{
+			After: 2 * demoSpacing, DataCentre: 1, Host: 1,
+		}},
+	} {
+		call.Index, call.At = len(demoPrompts)+i, at
+		call.Class, call.Service = workload.ClassService, d.Service
+		call.Organisation = d.Organisations[0].Name
+		call.Limit = workload.Limit(call.Class, 0)
+		plan = append(plan, &call)
+	}
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
+	return plan
+}
+
+func printOutcomes(w io.Writer, outcomes []client.Outcome) error {
+	sort.SliceStable(outcomes, func(i, j int) bool { return outcomes[i].Request.Index < outcomes[j].Request.Index })
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "request\tkind\tprompt tokens\tanswer tokens\toutcome\tfirst token s\tend s\tremark")
+	for _, o := range outcomes {
+		remark := o.Code
+		if o.Again {
+			remark = "same key, second host " + remark
+		}
+		if o.Result == client.Broken || o.Result == client.Wrong {
+			remark += " " + o.Fault.String() + " " + o.Detail
+		}
+		fmt.Fprintf(table, "%d\t%s\t%d\t%d\t%s\t%.3f\t%.3f\t%s\n", o.Request.Index+1, o.Request.Kind,
+			o.Request.PromptTokens, o.Tokens, o.Result, o.FirstToken.Seconds(), o.End.Seconds(), remark)
+	}
+	return errors.Wrap(table.Flush(), "printing the outcomes")
+}
+
+func printTTFT(w io.Writer, r *report.Report) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nTTFT by prompt length\tp50 s\tp95 s\tp99 s")
+	for _, class := range append(workload.Classes(), report.ClassAll) {
+		if q := r.TTFTSeconds[class]; q != nil {
+			fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\n", class, q.P50, q.P95, q.P99)
+		}
+	}
+	return errors.Wrap(table.Flush(), "printing the times to first token")
+}
+
+// judgeDemo compares what happened with what is promised.
+func judgeDemo(w io.Writer, r *report.Report, outcomes []client.Outcome, orders int) error {
+	undelivered := 0
+	for _, o := range outcomes {
+		if o.Result != client.Delivered && !o.Again {
+			undelivered++
+		}
+	}
+	checks := []struct {
+		what      string
+		got, want int64
+	}{
+		{"requests not delivered", int64(undelivered), 0},
+		{"orders carried out", int64(orders), 1},
+		{"answers mixed, gapped or repeated", int64(*r.AnswersMixed), 0},
+		{"requests that ended late", int64(*r.AdmittedLate), 0},
+		{"told not run although run", int64(*r.FalseNotRun), 0},
+		{"bytes of KV memory left on engines", *r.MemoryLeftBytes, 0},
+	}
+	fmt.Fprintln(w)
+	wrong := 0
+	for _, c := range checks {
+		verdict := "ok"
+		if c.got != c.want {
+			verdict = "WRONG"
+			wrong++
+		}
+		fmt.Fprintf(w, "%-5s  %s: %d, expected %d\n", verdict, c.what, c.got, c.want)
+	}
+	if wrong > 0 {
+		return errors.Errorf("demo: %d of %d checks are wrong", wrong, len(checks))
+	}
+	return nil
+}
--- a/internal/bench/fleet/counts.go
+++ b/internal/bench/fleet/counts.go
@@ -103,20 +103,27 @@
 // the kinds given are also compared with the number of keys that callers used.
 func (c Counts) ActionsDoneTwice(kinds []string, keysUsed int) int {
 	byKey := make(map[string]int)
-	runs := 0
 	for _, s := range c.Services {
 		for key, n := range s.RunsByKey {
 			byKey[key] += n
 		}
-		for _, kind := range kinds {
-			runs += s.RunsByKind[kind]
-		}
 	}
 	again := 0
 	for _, n := range byKey {
 		again += n - 1
 	}
-	return max(again, runs-keysUsed)
+	return max(again, c.RunsOf(kinds)-keysUsed)
+}
+
+// RunsOf is how often services ran calls of the kinds given.
+func (c Counts) RunsOf(kinds []string) int {
+	runs := 0
+	for _, s := range c.Services {
+		for _, kind := range kinds {
+			runs += s.RunsByKind[kind]
+		}
+	}
+	return runs
 }
 
 // PlatformCounts reads the platform's counters.
--- /dev/null
+++ b/internal/bench/report/report_test.go
@@ -0,0 +1,144 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/bench/answer"
+	"github.com/chestnutline/chestnutline/internal/bench/client"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
+)
+
+// fixedNames are the names that others read the report by.
+var fixedNames = []string{
+	"ttft_seconds", "inter_token_seconds_p95", "short_slowdown_p95", "in_time_share_weighted",
+	"refused_share", "admitted_late", "memory_left_bytes", "answers_mixed", "actions_done_twice",
+	"false_not_run", "config_reverted", "config_in_force_seconds", "leaving_quiet_seconds",
+	"orders_from_old_holder_in_effect", "store_calls_per_second", "control_bytes_per_second",
+	"control_cpu_share",
+}
+
+func decode(t *testing.T, r *Report) map[string]json.RawMessage {
+	t.Helper()
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		t.Fatal(err)
+	}
+	return fields
+}
+
+func TestUnmeasuredFieldsAreNull(t *testing.T) {
+	fields := decode(t, &Report{})
+	for _, name := range fixedNames {
+		value, there := fields[name]
+		if !there {
+			t.Errorf("the report has no field %s", name)
+		} else if string(value) != "null" {
+			t.Errorf("%s is %s without a measurement", name, value)
+		}
+	}
+}
+
+func TestNoOutcomesMeasureNothing(t *testing.T) {
+	var r Report
+	r.Measure(Conditions{Capacity: workload.Capacity{PromptsPerSecond: 10}, Duration: time.Second}, nil)
+	r.MeasureBaseline(nil)
+	fields := decode(t, &r)
+	for _, name := range []string{"inter_token_seconds_p95", "short_slowdown_p95", "in_time_share_weighted", "refused_share", "memory_left_bytes"} {
+		if string(fields[name]) != "null" {
+			t.Errorf("%s is %s without any outcome", name, fields[name])
+		}
+	}
+	if got := string(fields["ttft_seconds"]); got != `{"100k-1M":null,"1k-4k":null,"32k-100k":null,"4k-32k":null,"all":null}` {
+		t.Errorf("ttft_seconds is %s", got)
+	}
+}
+
+func delivered(class workload.Class, first, end time.Duration) client.Outcome {
+	return client.Outcome{
+		Request: &workload.Request{Class: class, Kind: "k", Limit: 10 * time.Second},
+		Result:  client.Delivered, FirstToken: first, End: end, TokenGap: 20 * time.Millisecond,
+	}
+}
+
+func near(t *testing.T, what string, got *float64, want float64) {
+	t.Helper()
+	if got == nil || math.Abs(*got-want) > 0.002*want {
+		t.Errorf("%s is %v, want %g", what, got, want)
+	}
+}
+
+func TestMeasures(t *testing.T) {
+	var outcomes, alone []client.Outcome
+	for range 10 {
+		outcomes = append(outcomes, delivered(workload.ClassShort, 300*time.Millisecond, time.Second))
+		alone = append(alone, delivered(workload.ClassShort, 200*time.Millisecond, time.Second))
+	}
+	late := delivered(workload.ClassBook, time.Second, 11*time.Second)
+	refused := delivered(workload.ClassMedium, 0, 5*time.Millisecond)
+	refused.Result, refused.Told = client.Refused, client.ToldNotRun
+	wrong := delivered(workload.ClassLong, time.Second, 2*time.Second)
+	wrong.Result, wrong.Fault = client.Wrong, answer.Gapped
+	again := delivered(workload.ClassService, 0, time.Second)
+	again.Again = true
+	outcomes = append(outcomes, late, refused, wrong, again)
+	var r Report
+	r.Measure(Conditions{
+		Weights:  map[string]float64{"k": 1},
+		Capacity: workload.Capacity{PromptsPerSecond: 8},
+		Duration: time.Second,
+	}, outcomes)
+	r.MeasureBaseline(alone)
+	near(t, "p95 of shorts", &r.TTFTSeconds[workload.ClassShort].P95, 0.3)
+	near(t, "between tokens", r.InterTokenSecondsP95, 0.02)
+	near(t, "slowdown", r.ShortSlowdownP95, 1.5)
+	near(t, "in time", r.InTimeShareWeighted, 10.0/13)
+	near(t, "refused", r.RefusedShare, 1.0/13)
+	near(t, "delivered of best", r.DeliveredShareOfBest, 10.0/8)
+	near(t, "latest overrun", r.LatestOverrunSeconds, 1)
+	if *r.AdmittedLate != 1 || *r.AnswersMixed != 1 || r.AnswerFaults["gapped"] != 1 {
+		t.Errorf("late %d, mixed %d, faults %v", *r.AdmittedLate, *r.AnswersMixed, r.AnswerFaults)
+	}
+}
+
+func TestReportSurvivesItsFile(t *testing.T) {
+	r := &Report{Policy: "naive", Notes: []string{}}
+	r.Measure(Conditions{Weights: map[string]float64{"k": 1}, Duration: time.Second}, []client.Outcome{delivered(workload.ClassShort, time.Second, 2*time.Second)})
+	path := filepath.Join(t.TempDir(), "a.json")
+	if err := r.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	back, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(r, back) {
+		t.Fatalf("wrote %+v, read %+v", r, back)
+	}
+}
+
+func TestTableAndPlot(t *testing.T) {
+	a := &Report{Policy: "default"}
+	a.Measure(Conditions{Duration: time.Second}, []client.Outcome{delivered(workload.ClassShort, time.Second, 2*time.Second)})
+	b := &Report{Policy: "naive"}
+	var text bytes.Buffer
+	if err := WriteTable(&text, []string{"A", "B"}, []*Report{a, b}); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(text.String(), notMeasured) || !strings.Contains(text.String(), "naive") {
+		t.Errorf("table:\n%s", text.String())
+	}
+	if err := Plot(filepath.Join(t.TempDir(), "p.png"), []string{"A", "B"}, []*Report{a, b}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -47,3 +47,6 @@
 	go func() { notes <- run(ctx, m) }()
 	return func() []string { return <-notes }
 }
+
+// HasScenario reports whether there is a scenario of that name.
+func HasScenario(name string) bool { return scenarios[name] != nil }
