--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,160 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/chestnutline/chestnutline/intent"
+	"github.com/chestnutline/chestnutline/internal/bench/client"
+	"github.com/chestnutline/chestnutline/internal/bench/fleet"
+	"github.com/chestnutline/chestnutline/internal/bench/report"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
+	"github.com/chestnutline/chestnutline/internal/standin/answer"
+)
+
+const routerProgram = "chestnut-router"
+
+// TestMain runs the fake router when the test's program is started as one.
+func TestMain(m *testing.M) {
+	if filepath.Base(os.Args[0]) == routerProgram {
+		os.Exit(runFakeRouter())
+	}
+	os.Exit(m.Run())
+}
+
+// programs makes a directory with the stand-ins and the fake router.
+func programs(t *testing.T) string {
+	t.Helper()
+	directory := t.TempDir()
+	build := exec.Command("go", "build", "-o", directory, "github.com/chestnutline/chestnutline/cmd/chestnut-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the stand-ins: %v\n%s", err, out)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, filepath.Join(directory, routerProgram)); err != nil {
+		t.Fatal(err)
+	}
+	return directory
+}
+
+// noSubmitter accepts every configuration without keeping it.
+type noSubmitter struct{}
+
+func (noSubmitter) Submit(_ context.Context, _ string, _ *intent.Configuration, base uint64) (uint64, error) {
+	return base + 1, nil
+}
+
+func options(t *testing.T, directory, policy string) Options {
+	return Options{
+		Policy: policy, Seed: 1, Load: 0.2, Duration: 4 * time.Second,
+		Engine: workload.Engine{
+			BaseStepSeconds: 0.018, PrefillRate: 160_000, ChunkTokens: 4_096,
+			MemoryTokens: 400_000, MaxBatch: 128,
+		},
+		Token: answer.AnswerToken, Submitter: noSubmitter{},
+		Programs: directory, Logs: t.TempDir(), Progress: io.Discard,
+		Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	}
+}
+
+// printLogs shows what the started processes said.
+func printLogs(t *testing.T, directory string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err == nil && len(text) > 0 {
+			t.Logf("%s:\n%s", filepath.Base(file), text)
+		}
+	}
+}
+
+// TestDemoJudgesTheRouter lets an honest router pass, and each router that
+// breaks one promise fail.
+func TestDemoJudgesTheRouter(t *testing.T) {
+	directory := programs(t)
+	for _, policy := range []string{honest, doubling, mixing, denying, forgetful} {
+		t.Run(policy, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			o := options(t, directory, policy)
+			err := Demo(context.Background(), o, &out)
+			if (err == nil) != (policy == honest) {
+				t.Errorf("demo ended with %v:\n%s", err, out.String())
+				printLogs(t, o.Logs)
+			}
+		})
+	}
+}
+
+func TestRunReportsWhatItMeasured(t *testing.T) {
+	o := options(t, programs(t), honest)
+	o.Deployment = workload.Moderation().Small(2, 4, 4)
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.TTFTSeconds[report.ClassAll] == nil || r.ShortSlowdownP95 == nil || r.InTimeShareWeighted == nil || r.StoreCallsPerSecond == nil {
+		t.Errorf("the report lacks measures: %+v", r)
+	}
+	if *r.AnswersMixed != 0 || *r.ActionsDoneTwice != 0 || *r.FalseNotRun != 0 || *r.MemoryLeftBytes != 0 {
+		t.Errorf("an honest router was found wrong: %+v", r)
+	}
+	if r.ConfigReverted != nil || r.LeavingQuietSeconds != nil {
+		t.Error("measures of scenarios are reported without one")
+	}
+}
+
+func TestCountersShowWhatCallersCannotSee(t *testing.T) {
+	outcomes := []client.Outcome{
+		{Request: &workload.Request{Key: "a"}, Told: client.ToldNotRun, RequestID: "r1"},
+		{Request: &workload.Request{Key: "a"}, Again: true, Told: client.ToldUnknown, RequestID: "r2"},
+		{Request: &workload.Request{Key: "b"}, Told: client.ToldNotRun, RequestID: "r3"},
+	}
+	counts := fleet.Counts{Services: []fleet.ServiceCount{
+		{RunsByKind: map[string]int{"order": 1}, RunsByRequest: map[string]int{"r1": 1}, RunsByKey: map[string]int{"a": 1}},
+		{RunsByKind: map[string]int{"order": 1}, RunsByRequest: map[string]int{"r2": 1}, RunsByKey: map[string]int{"a": 1}},
+	}}
+	var r report.Report
+	checkCounters(&r, workload.OrderDesk(), counts, outcomes)
+	if *r.ActionsDoneTwice != 1 || *r.FalseNotRun != 1 {
+		t.Errorf("twice %d, false not_run %d", *r.ActionsDoneTwice, *r.FalseNotRun)
+	}
+	for i, key := range []string{"x", "y"} {
+		counts.Services[i].RunsByKey = map[string]int{key: 1}
+	}
+	checkCounters(&r, workload.OrderDesk(), counts, outcomes[:2])
+	if *r.ActionsDoneTwice != 1 {
+		t.Errorf("twice %d although one key was used and two actions ran", *r.ActionsDoneTwice)
+	}
+}
+
+func TestReversionIsSeenAcrossReplacement(t *testing.T) {
+	w := &follower{newest: make(map[string]fleet.RouterStatus), highest: make(map[string]uint64)}
+	w.note("h", fleet.RouterStatus{ConfigVersion: 5, Ready: true})
+	w.forget("h")
+	w.note("h", fleet.RouterStatus{ConfigVersion: 0})
+	w.note("h", fleet.RouterStatus{ConfigVersion: 5, Ready: true})
+	if n, _ := w.Reverted(); n != 0 {
+		t.Fatalf("%d reversions of a host that learns its version before it is ready", n)
+	}
+	w.note("h", fleet.RouterStatus{ConfigVersion: 4, Ready: true})
+	if n, _ := w.Reverted(); n != 1 {
+		t.Fatalf("%d reversions seen of one", n)
+	}
+}
--- a/internal/bench/client/client.go
+++ b/internal/bench/client/client.go
@@ -75,7 +75,7 @@
 // so that a balancer may choose another host, or nil.
 func (c *Client) Send(ctx context.Context, s Sending) (Outcome, error) {
 	r := s.Request
-	o := Outcome{Request: r, Again: s.Again, Sent: time.Since(s.Due)}
+	o := Outcome{Request: r, Again: s.Again, Address: s.Address, Sent: time.Since(s.Due)}
 	ctx, cancel := context.WithTimeout(ctx, r.Limit+patience)
 	defer cancel()
 	call, check, err := c.build(ctx, s)
--- a/internal/bench/client/outcome.go
+++ b/internal/bench/client/outcome.go
@@ -38,8 +38,10 @@
 type Outcome struct {
 	Request *workload.Request
 	// Again says that this was the repeated sending of an action.
-	Again  bool
-	Result Result
+	Again bool
+	// Address is the host that it was sent to.
+	Address string
+	Result  Result
 	// Status is the HTTP status, 0 when no answer came.
 	Status int
 	// Code and Told are the code and outcome of the problem document.
--- a/internal/bench/fleet/address.go
+++ b/internal/bench/fleet/address.go
@@ -16,9 +16,8 @@
 	portPeer     = 8082
 	portUpstream = 9000
 	portSteering = 9900
-	// portControllerAdmin and portControllerPeer are on the entry host's address.
+	// portControllerAdmin is on the entry host's address.
 	portControllerAdmin = 8091
-	portControllerPeer  = 8092
 )
 
 // Third parts of the addresses in a block.
--- a/internal/bench/fleet/counts.go
+++ b/internal/bench/fleet/counts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // EngineCount is what one stand-in engine has counted.
@@ -188,3 +189,39 @@
 	err := f.control.call(ctx, http.MethodGet, "http://"+h.Admin+"/status", nil, &s)
 	return s, err
 }
+
+// LastLateWork is the longest time after its sign of leaving at which an
+// upstream was still given new work, 0 if none was.
+func (c Counts) LastLateWork() time.Duration {
+	var last int64
+	for _, e := range c.Engines {
+		last = max(last, e.LateWorkMillis)
+	}
+	for _, s := range c.Services {
+		last = max(last, s.LateWorkMillis)
+	}
+	return time.Duration(last) * time.Millisecond
+}
+
+// StaleOrders counts orders that engines took with a fencing number older
+// than one that they had seen.
+func (c Counts) StaleOrders() int {
+	stale := 0
+	for _, e := range c.Engines {
+		stale += e.OrdersStale
+	}
+	return stale
+}
+
+// controllerStatus is the part of a controller's status that is read.
+type controllerStatus struct {
+	Holder bool `json:"holder"`
+}
+
+// HoldsLease reports whether a host's controller says that it holds the lease
+// of its data centre.
+func (f *Fleet) HoldsLease(ctx context.Context, h Host) (bool, error) {
+	var s controllerStatus
+	err := f.control.call(ctx, http.MethodGet, "http://"+h.ControllerAdmin+"/status", nil, &s)
+	return s.Holder, err
+}
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -201,7 +201,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.routers[h.Name] = p
-	delete(f.outOfUse, h.Name)
 	return nil
 }
 
@@ -240,6 +239,21 @@
 	return f.controllers[host]
 }
 
+// IsOwn reports whether a process belongs to the system rather than to the
+// stand-ins.
+func (f *Fleet) IsOwn(process string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, own := range []map[string]*Process{f.routers, f.controllers} {
+		for _, p := range own {
+			if p.Name == process {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // HasControllers reports whether controllers were started.
 func (f *Fleet) HasControllers() bool {
 	f.mu.Lock()
@@ -254,6 +268,20 @@
 	f.outOfUse[host] = true
 }
 
+// PutBack puts a host back behind the balancer.
+func (f *Fleet) PutBack(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.outOfUse, host)
+}
+
+// InUse reports whether the balancer uses a host.
+func (f *Fleet) InUse(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.outOfUse[host]
+}
+
 // AddressesOf lists the callers' addresses of a data centre that the
 // balancer uses.
 func (f *Fleet) AddressesOf(dataCentre int) []string {
@@ -352,6 +380,7 @@
 	Address    string            `json:"address"`
 	DataCentre string            `json:"data_centre"`
 	Role       string            `json:"role"`
+	Service    string            `json:"service,omitempty"`
 	Leaving    bool              `json:"leaving"`
 	Via        map[string]string `json:"via,omitempty"`
 }
@@ -363,7 +392,11 @@
 		entries = append(entries, f.entry(h.Name, h.Peer, roleEntry, h.DataCentre))
 	}
 	for _, u := range f.Upstreams {
-		entries = append(entries, f.entry(u.Name, u.Address, u.Role, u.DataCentre))
+		entry := f.entry(u.Name, u.Address, u.Role, u.DataCentre)
+		if u.Role == roleService {
+			entry.Service = f.Deployment.Service
+		}
+		entries = append(entries, entry)
 	}
 	return f.control.call(ctx, http.MethodPut, f.PlatformURL()+"/hosts", entries, nil)
 }
--- a/internal/bench/fleet/layout.go
+++ b/internal/bench/fleet/layout.go
@@ -24,8 +24,8 @@
 	// Callers, Admin and Peer are the router's own addresses; CallersVia is
 	// where callers reach it.
 	Callers, CallersVia, Admin, Peer string
-	// ControllerAdmin and ControllerPeer are the controller's.
-	ControllerAdmin, ControllerPeer string
+	// ControllerAdmin is the controller's.
+	ControllerAdmin string
 }
 
 // Upstream is one engine or one instance of a plain service.
@@ -74,7 +74,6 @@
 		Admin:           b.address(third, fourth, portAdmin),
 		Peer:            b.address(third, fourth, portPeer),
 		ControllerAdmin: b.address(third, fourth, portControllerAdmin),
-		ControllerPeer:  b.address(third, fourth, portControllerPeer),
 	}
 }
 
@@ -109,3 +108,14 @@
 	}
 	return upstreams
 }
+
+// LastUpstreams is the last engine and the last instance of the service.
+func (l Layout) LastUpstreams() []Upstream {
+	var last []Upstream
+	for i, u := range l.Upstreams {
+		if i+1 == len(l.Upstreams) || l.Upstreams[i+1].Role != u.Role {
+			last = append(last, u)
+		}
+	}
+	return last
+}
--- a/internal/bench/fleet/network.go
+++ b/internal/bench/fleet/network.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutline/chestnutline/internal/bench/relay"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
 )
 
 // platformDelay is the time one way between a data centre and the platform,
@@ -20,12 +21,22 @@
 
 func pairOf(a, b int) pair { return pair{min(a, b), max(a, b)} }
 
+// peerRelay carries what hosts of one data centre say to a host of another or
+// of the same.
+type peerRelay struct {
+	viewer, place int
+	relay         *relay.Relay
+}
+
 // Network is the relays between the places of a fleet.
 type Network struct {
 	between  map[pair]*relay.Link
 	platform []*relay.Link
 	callers  *relay.Link
 	relays   []*relay.Relay
+	// peers and toPlatform are the relays that carry control traffic.
+	peers      []peerRelay
+	toPlatform []*relay.Relay
 	// via maps an address to the address for viewers of each other data centre.
 	via map[string]map[string]string
 	// platformVia is where each data centre reaches the platform.
@@ -51,67 +62,77 @@
 	for place := range l.Deployment.DataCentres {
 		link := &relay.Link{Delay: platformDelay}
 		address := b.address(netPlatformRelay+place, 1, portPlatform)
-		if err := n.relay(address, platform, link, seed); err != nil {
+		r, err := n.relay(address, platform, link, seed)
+		if err != nil {
 			return err
 		}
 		n.platform = append(n.platform, link)
 		n.platformVia = append(n.platformVia, address)
+		n.toPlatform = append(n.toPlatform, r)
 	}
 	for _, h := range l.Hosts {
-		if err := n.relay(h.CallersVia, h.Callers, n.callers, seed); err != nil {
+		if _, err := n.relay(h.CallersVia, h.Callers, n.callers, seed); err != nil {
 			return err
 		}
-		if err := n.cross(l, b, h.Peer, h.DataCentre, seed); err != nil {
-			return err
-		}
-		if err := n.cross(l, b, h.ControllerPeer, h.DataCentre, seed); err != nil {
+		if err := n.reach(l, b, h.Peer, h.DataCentre, true, seed); err != nil {
 			return err
 		}
 	}
 	for _, u := range l.Upstreams {
-		if err := n.cross(l, b, u.Address, u.DataCentre, seed); err != nil {
+		if err := n.reach(l, b, u.Address, u.DataCentre, false, seed); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (n *Network) relay(address, target string, link *relay.Link, seed uint64) error {
+func (n *Network) relay(address, target string, link *relay.Link, seed uint64) (*relay.Relay, error) {
 	r, err := relay.Start(address, target, link, seed^uint64(len(n.relays)))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	n.relays = append(n.relays, r)
-	return nil
+	return r, nil
 }
 
-// cross starts the relays through which the other data centres reach target.
-func (n *Network) cross(l Layout, b *Block, target string, place int, seed uint64) error {
+// reach starts the relays through which target is reached from each data
+// centre. Within its own one upstreams are reached directly, and hosts over a
+// relay without delay, so that what they say to each other is counted.
+func (n *Network) reach(l Layout, b *Block, target string, place int, peer bool, seed uint64) error {
 	fourth, port, err := lastParts(target)
 	if err != nil {
 		return err
 	}
-	d := l.Deployment
-	for viewer, name := range d.DataCentres {
-		if viewer == place {
+	n.via[target] = make(map[string]string)
+	for viewer, name := range l.Deployment.DataCentres {
+		if viewer == place && !peer {
 			continue
 		}
-		key := pairOf(viewer, place)
-		if n.between[key] == nil {
-			n.between[key] = &relay.Link{Delay: d.LinkDelay, Jitter: d.LinkJitter, Loss: d.LinkLoss}
-		}
 		address := b.address(netRelay+viewer*relayStride+place, fourth, port)
-		if err := n.relay(address, target, n.between[key], seed); err != nil {
+		r, err := n.relay(address, target, n.link(l.Deployment, viewer, place), seed)
+		if err != nil {
 			return err
 		}
-		if n.via[target] == nil {
-			n.via[target] = make(map[string]string)
-		}
 		n.via[target][name] = address
+		if peer {
+			n.peers = append(n.peers, peerRelay{viewer: viewer, place: place, relay: r})
+		}
 	}
 	return nil
 }
 
+// link returns the link between two data centres, the same for all relays.
+func (n *Network) link(d workload.Deployment, a, b int) *relay.Link {
+	key := pairOf(a, b)
+	if n.between[key] == nil {
+		n.between[key] = &relay.Link{}
+		if a != b {
+			n.between[key] = &relay.Link{Delay: d.LinkDelay, Jitter: d.LinkJitter, Loss: d.LinkLoss}
+		}
+	}
+	return n.between[key]
+}
+
 func lastParts(address string) (fourth, port int, err error) {
 	host, portText, err := net.SplitHostPort(address)
 	if err != nil {
@@ -129,7 +150,7 @@
 // if wanted.
 func (n *Network) CutDataCentre(place int, platformToo bool) {
 	for key, link := range n.between {
-		if key.low == place || key.high == place {
+		if key.low != key.high && (key.low == place || key.high == place) {
 			link.Cut()
 		}
 	}
@@ -148,13 +169,18 @@
 	}
 }
 
-// BytesBetween is how many bytes have passed between data centres.
-func (n *Network) BytesBetween() int64 {
-	var total int64
-	for _, link := range n.between {
-		total += link.Bytes()
+// ControlBytes is how many bytes the hosts of each data centre have sent and
+// received so far, among hosts and to and from the platform.
+func (n *Network) ControlBytes() []int64 {
+	totals := make([]int64, len(n.toPlatform))
+	for place, r := range n.toPlatform {
+		totals[place] += r.Bytes()
+	}
+	for _, p := range n.peers {
+		totals[p.viewer] += p.relay.Bytes()
+		totals[p.place] += p.relay.Bytes()
 	}
-	return total
+	return totals
 }
 
 // Close ends all relays.
--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -35,8 +35,7 @@
 	// Loss is the probability that a packet is lost and sent again.
 	Loss float64
 
-	cut   atomic.Bool
-	bytes atomic.Int64
+	cut atomic.Bool
 }
 
 // Cut stops the link: data and new connections wait until Heal.
@@ -45,9 +44,6 @@
 // Heal ends a cut.
 func (l *Link) Heal() { l.cut.Store(false) }
 
-// Bytes is how many bytes were passed on in both directions.
-func (l *Link) Bytes() int64 { return l.bytes.Load() }
-
 // delay draws the time that a chunk of n bytes takes.
 func (l *Link) delay(r *rand.Rand, n int) time.Duration {
 	d := l.Delay + time.Duration(r.ExpFloat64()*float64(l.Jitter))
@@ -68,6 +64,7 @@
 	link     *Link
 	seed     uint64
 	done     chan struct{}
+	bytes    atomic.Int64
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
@@ -98,6 +95,9 @@
 // Address is where the relay listens.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// Bytes is how many bytes were passed on in both directions.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	r.mu.Lock()
@@ -238,6 +238,6 @@
 
 func (r *Relay) forward(to net.Conn, data []byte) bool {
 	n, err := to.Write(data)
-	r.link.bytes.Add(int64(n))
+	r.bytes.Add(int64(n))
 	return err == nil
 }
--- a/internal/bench/report/measure.go
+++ b/internal/bench/report/measure.go
@@ -59,6 +59,9 @@
 	Capacity workload.Capacity
 	// Duration is how long requests arrived.
 	Duration time.Duration
+	// Killed are the addresses of hosts that were killed during the run, whose
+	// callers can't but lose their answers.
+	Killed map[string]bool
 }
 
 // Measure fills the report with what the callers saw.
@@ -71,11 +74,16 @@
 	r.measureFaults(outcomes)
 	delays := newLatencies()
 	r.Outcomes = make(map[string]int)
+	broken := 0
 	for _, o := range outcomes {
+		if o.Result == client.Broken && !c.Killed[o.Address] {
+			broken++
+		}
 		delays.add(o.Sent)
 		r.Outcomes[string(o.Result)]++
 	}
 	r.DriverDelaySecondsP99 = delays.at(99)
+	r.BrokenOff = &broken
 }
 
 // MeasureBaseline compares the short prompts of a run with the same ones alone.
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -54,17 +54,19 @@
 	FalseNotRun             *int                          `json:"false_not_run"`
 	Outcomes                map[string]int                `json:"outcomes"`
 	Codes                   map[string]int                `json:"codes"`
-	DriverDelaySecondsP99   *float64                      `json:"driver_delay_seconds_p99"`
+	// BrokenOff counts answers that ended without a word, other than those of
+	// hosts that the bench had killed.
+	BrokenOff             *int     `json:"broken_off"`
+	DriverDelaySecondsP99 *float64 `json:"driver_delay_seconds_p99"`
 
-	ConfigReverted               *int               `json:"config_reverted"`
-	ConfigInForceSeconds         *float64           `json:"config_in_force_seconds"`
-	LeavingQuietSeconds          *float64           `json:"leaving_quiet_seconds"`
-	OrdersFromOldHolderInEffect  *int               `json:"orders_from_old_holder_in_effect"`
-	StoreCallsPerSecond          map[string]float64 `json:"store_calls_per_second"`
-	ControlBytesPerSecond        map[string]float64 `json:"control_bytes_per_second"`
-	ControlCPUShare              map[string]float64 `json:"control_cpu_share"`
-	ProcessCPUShare              map[string]float64 `json:"process_cpu_share"`
-	BytesBetweenCentresPerSecond *float64           `json:"bytes_between_data_centres_per_second"`
+	ConfigReverted              *int               `json:"config_reverted"`
+	ConfigInForceSeconds        *float64           `json:"config_in_force_seconds"`
+	LeavingQuietSeconds         *float64           `json:"leaving_quiet_seconds"`
+	OrdersFromOldHolderInEffect *int               `json:"orders_from_old_holder_in_effect"`
+	StoreCallsPerSecond         map[string]float64 `json:"store_calls_per_second"`
+	ControlBytesPerSecond       map[string]float64 `json:"control_bytes_per_second"`
+	ControlCPUShare             map[string]float64 `json:"control_cpu_share"`
+	ProcessCPUShare             map[string]float64 `json:"process_cpu_share"`
 
 	// Notes tell what disturbed the run or was left out of it.
 	Notes []string `json:"notes"`
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -83,6 +83,7 @@
 		{"answers mixed", "0", func(r *Report) string { return count(r.AnswersMixed) }},
 		{"actions done twice", "0", func(r *Report) string { return count(r.ActionsDoneTwice) }},
 		{"false not_run", "0", func(r *Report) string { return count(r.FalseNotRun) }},
+		{"answers broken off", "0", func(r *Report) string { return count(r.BrokenOff) }},
 		{"driver delay p99 s", "", func(r *Report) string { return number(r.DriverDelaySecondsP99) }},
 	}
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -20,7 +20,7 @@
 	plan       []*workload.Request
 	before     fleet.PlatformCount
 	usage      fleet.Usage
-	bytes      int64
+	bytes      []int64
 	started    time.Time
 }
 
@@ -56,6 +56,7 @@
 			Weights:       weights(o.Deployment),
 			Capacity:      capacity,
 			Duration:      duration,
+			Killed:        make(map[string]bool),
 		},
 	}
 	if err := m.measure(ctx, run); err != nil {
@@ -88,6 +89,9 @@
 }
 
 func (m *measured) measure(ctx context.Context, run scenario) error {
+	if err := m.measureIdle(ctx); err != nil {
+		return err
+	}
 	var baseline []client.Outcome
 	if run == nil {
 		baseline = m.drive(ctx, "shorts alone", workload.Baseline(m.plan))
@@ -97,7 +101,7 @@
 	}
 	finish := m.startScenario(ctx, run)
 	outcomes := m.drive(ctx, "all prompts", m.plan)
-	m.report.Notes = append(m.report.Notes, finish()...)
+	finish()
 	if err := ctx.Err(); err != nil {
 		return err
 	}
@@ -129,12 +133,34 @@
 	return m.fleet.Dead()
 }
 
+// idleTime is how long the fleet is left without requests, to see what control
+// alone costs.
+const idleTime = 5 * time.Second
+
+// measureIdle measures the processor time of the system's own processes while
+// no caller asks anything.
+func (m *measured) measureIdle(ctx context.Context) error {
+	before := m.fleet.Usage()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(idleTime):
+	}
+	m.report.ControlCPUShare = make(map[string]float64)
+	for name, share := range m.fleet.Usage().SharesSince(before) {
+		if m.fleet.IsOwn(name) {
+			m.report.ControlCPUShare[name] = share
+		}
+	}
+	return nil
+}
+
 // begin notes the counters before the measured phase.
 func (m *measured) begin(ctx context.Context) error {
 	var err error
 	m.before, err = m.fleet.PlatformCounts(ctx)
 	m.usage = m.fleet.Usage()
-	m.bytes = m.fleet.Network.BytesBetween()
+	m.bytes = m.fleet.Network.ControlBytes()
 	m.started = time.Now()
 	return err
 }
@@ -151,7 +177,11 @@
 		m.report.StoreCallsPerSecond[kind] = float64(n-m.before.Calls[kind]) / passed
 	}
 	m.report.ProcessCPUShare = m.fleet.Usage().SharesSince(m.usage)
-	between := float64(m.fleet.Network.BytesBetween()-m.bytes) / passed
-	m.report.BytesBetweenCentresPerSecond = &between
+	m.report.ControlBytesPerSecond = make(map[string]float64)
+	for place, bytes := range m.fleet.Network.ControlBytes() {
+		hosts := float64(len(m.fleet.HostsOf(place)))
+		name := m.options.Deployment.DataCentres[place] + " mean host"
+		m.report.ControlBytesPerSecond[name] = float64(bytes-m.bytes[place]) / passed / hosts
+	}
 	return nil
 }
