--- a/internal/claim/shard/entry.go
+++ b/internal/claim/shard/entry.go
@@ -18,7 +18,7 @@
 	MaxCodeBytes = 64
 	MaxBodyBytes = 512
 	// entryBytes bounds an encoded entry without code and body.
-	entryBytes = 70
+	entryBytes = 80
 	// headerBytes bounds the encoded table without entries.
 	headerBytes = 32
 )
@@ -144,7 +144,6 @@
 
 // wireEntry is an entry as encoded.
 type wireEntry struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	ID          []byte
 	Incarnation uint64
 	Attempt     uint64
@@ -159,10 +158,9 @@
 }
 
 type wireTable struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Format   int
-	Window   uint64
-	Entries  []wireEntry
+	Format  int
+	Window  uint64
+	Entries []wireEntry
 }
 
 // Encode returns the table's bytes, equal for equal tables.
@@ -178,6 +176,7 @@
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.UseCompactInts(true)
+	encoder.UseArrayEncodedStructs(true)
 	if err := encoder.Encode(&w); err != nil {
 		return nil, errors.Wrap(err, "encode claims")
 	}
--- a/internal/claim/shard/message.go
+++ b/internal/claim/shard/message.go
@@ -150,11 +150,16 @@
 	Full
 	// Unreadable says that the shard object's content can't be decoded.
 	Unreadable
+	// TooNew and Undated refuse keys before any Core sees them: their date lies
+	// ahead of the clock, or they carry none where one is required.
+	TooNew
+	Undated
 )
 
 var decisionNames = [...]string{
 	"refused", "granted", "done", "in progress", "outcome unknown",
 	"mismatch", "too old", "full", "unreadable",
+	"too new", "undated",
 }
 
 // String names the decision.
