Claim actions before they are sent; the thin path stands

Cause: the demo carried the order out twice (two hosts, same key): nothing claimed it. Ruled out: a claim in the dispatch core, since claims wait for the store and the control thread must not. Change: package host claims through internal/claim on the traffic side before a call that may not be repeated, completes or gives back after it, and tells the other request what is recorded.

--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/admin"
 	"github.com/chestnutline/chestnutline/internal/callers"
+	"github.com/chestnutline/chestnutline/internal/claim"
 	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/configuration"
 	"github.com/chestnutline/chestnutline/internal/configuration/source"
@@ -53,6 +54,7 @@
 	source   *source.Source
 	peers    *peer.Transport
 	store    *platform.Client
+	claimer  *claim.Claimer
 	engines  *engine.HTTPClient
 	services *service.HTTPClient
 	callers  *callers.Server
@@ -97,6 +99,11 @@
 	}
 	p.loop = NewLoop(core, p.clock, dispatch.DefaultConfig().TickInterval, p.execute)
 	p.source = source.New(p.store, func(e configuration.Event) { p.loop.Post(router.Configured{Event: e}) })
+	if dispatch.Policy(s.Policy) != dispatch.PolicyNaive {
+		if p.claimer, err = claim.New(claim.DefaultConfig(), p.store, l); err != nil {
+			return nil, errors.Wrap(err, "assemble the host")
+		}
+	}
 	p.assembleTraffic()
 	return p, p.assemblePeers()
 }
@@ -151,7 +158,10 @@
 
 // guard returns what keeps actions from being repeated; the naive policy has none.
 func (p *Process) guard() traffic.Guard {
-	return nil
+	if p.claimer == nil {
+		return nil
+	}
+	return &claimGuard{claimer: p.claimer, log: p.log}
 }
 
 // Status implements admin.Source.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -146,4 +146,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
 	defer cancel()
 	_ = p.callers.Shutdown(ctx)
+	if p.claimer != nil {
+		_ = p.claimer.Close(ctx)
+	}
 }
--- a/internal/logevent/router.go
+++ b/internal/logevent/router.go
@@ -13,4 +13,5 @@
 	MemberNoted         = declare(1030, log.InfoLevel, "member changed", "What is believed of another host changed.")
 	MemberSuperseded    = declare(1031, log.ErrorLevel, "host superseded", "Another process with this host's name and a later start is alive; this one stops. Give every host its own name.")
 	DrainLimitReached   = declare(1040, log.ErrorLevel, "drain limit reached", "The host stopped while requests were still in flight, since the drain limit had passed.")
+	ClaimKept           = declare(1050, log.WarnLevel, "claim kept", "An action was not run, but its idempotency key could not be given back; repeated requests with it learn that the outcome is unknown.")
 )
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -45,10 +45,10 @@
 		ContentType:    "application/json",
 		Body:           c.exchange.Call.Body,
 	})
-	if err != nil {
+	if a.Status == 0 {
 		return nil, err
 	}
-	return &ServiceAnswer{Status: a.Status, Body: a.Body}, nil
+	return &ServiceAnswer{Status: a.Status, Body: a.Body}, err
 }
 
 func (c *call) unguarded() {
@@ -72,7 +72,7 @@
 	if errors.Is(err, service.ErrNotRun) {
 		c.executor.guard.GiveBack(context.Background(), a, permit.Token)
 	} else {
-		c.executor.guard.Complete(context.Background(), a, permit.Token, answer)
+		c.executor.guard.Complete(a, permit.Token, answer)
 	}
 	c.conclude(answer, err)
 }
--- a/internal/traffic/guard.go
+++ b/internal/traffic/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/chestnutline/chestnutline/internal/claim"
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 )
 
@@ -25,7 +26,7 @@
 	// Run says that the caller, and no one else, may carry the action out.
 	Run bool
 	// Token identifies the claim to Complete and GiveBack.
-	Token string
+	Token claim.Token
 	// Recorded is the answer of the earlier request that carried it out.
 	Recorded *ServiceAnswer
 	// Code, Outcome, Detail and RetryAfter tell why it may not run, where
@@ -41,7 +42,7 @@
 	// Claim makes the claim durable before anything is sent upstream.
 	Claim(ctx context.Context, a Action) Permit
 	// Complete records the action's answer, nil when it is not known.
-	Complete(ctx context.Context, a Action, token string, answer *ServiceAnswer)
+	Complete(a Action, token claim.Token, answer *ServiceAnswer)
 	// GiveBack frees the key; only with proof that the action was not run.
-	GiveBack(ctx context.Context, a Action, token string)
+	GiveBack(ctx context.Context, a Action, token claim.Token)
 }
