Give short requests engines of their own; let long ones leave memory free

Cause: at load 0.7 short requests waited for memory: one book-length prompt takes up to 1 M of a data centre's 2.4 M tokens, and an overdue one kept engines free from everybody. Ruled out: engine priorities alone; they order prefill, not memory. Change: engines split by observed demand of prompts under 4 k (size-based assignment); a prompt over 100 k starts only if the memory that the others are likely to need (mean and three deviations, as seen) stays free; engines kept for an overdue long prompt are closed only to other long ones.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -101,7 +101,7 @@
 func (c *Core) take(now time.Duration, r *request, o *organisation, f *fleetModel) {
 	c.keep(r)
 	c.retries.admitted(c.cfg.RetryShare, c.cfg.RetryBurst)
-	c.mix.observe(r.cost.uncached, r.cost.uncached >= c.cfg.LongTokens)
+	c.mix.observe(c.lane(r), r.cost.service)
 	pace := float64(f.engines) / float64(c.sharers()) * c.shareOf(o)
 	o.virtual = max(now, o.virtual) + time.Duration(float64(r.cost.service)/max(pace, minPace))
 }
@@ -156,7 +156,11 @@
 	engines := float64(f.engines) / float64(c.sharers())
 	backlog := tokensTime(f.backlog, f.rate)
 	prefillWait := time.Duration(float64(prefillAhead)/engines) + max(0, backlog-c.cfg.BindWindow)
-	memoryWait := c.memoryWait(memoryAhead+r.totalTokens(), f)
+	needed := memoryAhead + r.totalTokens()
+	if c.lane(r) == laneLong {
+		needed += c.reserve() / c.sharers()
+	}
+	memoryWait := c.memoryWait(needed, f)
 	wait := max(prefillWait, memoryWait)
 	return time.Duration(float64(wait) * c.waits.factor())
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -45,17 +45,25 @@
 	// prompts more, and ages long ones more slowly.
 	TargetBase    time.Duration
 	TargetStretch float64
+	// ShortTokens is the uncached prompt length, in tokens, below which a
+	// request is short and has engines of its own.
+	ShortTokens int
+	// ShortUse is the part of the short requests' engines that their observed
+	// demand may fill; lower gives them more engines and less waiting.
+	ShortUse float64
 	// LongTokens is the uncached prompt length, in tokens, from which a
-	// request counts as long and is kept off the engines held for short ones.
+	// request counts as long: it starts only where the memory that the others
+	// are likely to need stays free.
 	LongTokens int
+	// ReserveDeviations is how many standard deviations above its mean the
+	// memory of requests that are not long may rise without meeting a long
+	// one. More makes long prompts wait more.
+	ReserveDeviations float64
 	// SpreadTokens is the share of a prompt, in tokens, that one member of a
 	// group prefills; longer prompts are spread over more engines.
 	SpreadTokens int
 	// MaxGroup bounds the number of engines of a group.
 	MaxGroup int
-	// LongHeadroom multiplies the observed share of long work when the number
-	// of engines open to long prompts is chosen.
-	LongHeadroom float64
 	// AffinityBound is the most load, relative to the mean, at which a cached
 	// prefix may draw a request to an engine.
 	AffinityBound float64
@@ -108,34 +116,36 @@
 // with links of a few milliseconds.
 func DefaultConfig() Config {
 	return Config{
-		Policy:         PolicyDefault,
-		TickInterval:   10 * time.Millisecond,
-		FinishMargin:   50 * time.Millisecond,
-		BindWindow:     250 * time.Millisecond,
-		TargetBase:     200 * time.Millisecond,
-		TargetStretch:  4,
-		LongTokens:     32_000,
-		SpreadTokens:   100_000,
-		MaxGroup:       8,
-		LongHeadroom:   1.5,
-		AffinityBound:  1.25,
-		ScoreSlack:     5 * time.Millisecond,
-		MemoryHeadroom: 0.03,
-		RetryShare:     0.1,
-		RetryBurst:     20,
-		MaxAttempts:    4,
-		SilenceTimeout: time.Second,
-		CancelRetry:    100 * time.Millisecond,
-		CancelRetryMax: 2 * time.Second,
-		CancelLimit:    30 * time.Second,
-		OverdueGrace:   2 * time.Second,
-		ReportTimeout:  2 * time.Second,
-		FairBurst:      2 * time.Second,
-		MaxQueue:       20_000,
-		MaxPrefixes:    4096,
-		PrefillRate:    90_000,
-		DecodeStep:     40 * time.Millisecond,
-		EngineMemory:   400_000,
+		Policy:            PolicyDefault,
+		TickInterval:      10 * time.Millisecond,
+		FinishMargin:      50 * time.Millisecond,
+		BindWindow:        250 * time.Millisecond,
+		TargetBase:        200 * time.Millisecond,
+		TargetStretch:     4,
+		ShortTokens:       4_000,
+		ShortUse:          0.5,
+		LongTokens:        100_000,
+		ReserveDeviations: 3,
+		SpreadTokens:      100_000,
+		MaxGroup:          8,
+		AffinityBound:     1.25,
+		ScoreSlack:        5 * time.Millisecond,
+		MemoryHeadroom:    0.03,
+		RetryShare:        0.1,
+		RetryBurst:        20,
+		MaxAttempts:       4,
+		SilenceTimeout:    time.Second,
+		CancelRetry:       100 * time.Millisecond,
+		CancelRetryMax:    2 * time.Second,
+		CancelLimit:       30 * time.Second,
+		OverdueGrace:      2 * time.Second,
+		ReportTimeout:     2 * time.Second,
+		FairBurst:         2 * time.Second,
+		MaxQueue:          20_000,
+		MaxPrefixes:       4096,
+		PrefillRate:       90_000,
+		DecodeStep:        40 * time.Millisecond,
+		EngineMemory:      400_000,
 	}
 }
 
@@ -156,7 +166,9 @@
 	positive("TickInterval", c.TickInterval > 0)
 	positive("BindWindow", c.BindWindow > 0)
 	positive("TargetStretch", c.TargetStretch > 0)
-	positive("LongTokens", c.LongTokens > 0)
+	positive("ShortTokens", c.ShortTokens > 0)
+	positive("ShortUse", c.ShortUse > 0)
+	positive("LongTokens", c.LongTokens > c.ShortTokens)
 	positive("SpreadTokens", c.SpreadTokens > 0)
 	positive("MaxGroup", c.MaxGroup > 0)
 	positive("MaxAttempts", c.MaxAttempts > 0)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -27,12 +27,14 @@
 	// activeShare sums the shares of the organisations that have work.
 	activeShare float64
 	// views caches the candidate engines by model until one of them changes.
-	views    map[string][]*upstream
-	cancels  cancelTable
-	retries  retryBudget
-	mix      lengthMix
-	waits    waitModel
-	resident residencyModel
+	views   map[string][]*upstream
+	cancels cancelTable
+	retries retryBudget
+	mix     mix
+	// lightMemory is the memory of own requests that are not long, in tokens.
+	lightMemory int
+	waits       waitModel
+	resident    residencyModel
 
 	dirty    bool
 	draining bool
@@ -138,7 +140,7 @@
 	c.expire(now)
 	c.repeatCancels(now)
 	c.suspectSilent(now)
-	c.mix.age(now - c.lastTick)
+	c.mix.age(now-c.lastTick, c.lightMemory)
 	c.lastTick = now
 	c.dirty = c.dirty || len(c.queue.items) > 0
 }
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -75,39 +75,6 @@
 	return least, wanted
 }
 
-// lengthMix observes how much of the prefill work is for long prompts.
-type lengthMix struct {
-	long float64
-	all  float64
-}
-
-// mixHalfLife is the time after which an observation counts half.
-const mixHalfLife = 60 * time.Second
-
-func (m *lengthMix) observe(tokens int, long bool) {
-	m.all += float64(tokens)
-	if long {
-		m.long += float64(tokens)
-	}
-}
-
-func (m *lengthMix) age(passed time.Duration) {
-	if passed <= 0 {
-		return
-	}
-	factor := 1 - 0.5*min(1, float64(passed)/float64(mixHalfLife))
-	m.all *= factor
-	m.long *= factor
-}
-
-// longShare is the part of the prefill work that is long, 0 to 1.
-func (m *lengthMix) longShare() float64 {
-	if m.all <= 0 {
-		return 0
-	}
-	return m.long / m.all
-}
-
 // waitModel corrects predicted waits by observed ones.
 type waitModel struct {
 	bias float64
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -7,15 +7,17 @@
 
 // Dump is a snapshot of the core for operators.
 type Dump struct {
-	Policy    Policy         `json:"policy"`
-	Draining  bool           `json:"draining"`
-	InFlight  int            `json:"in_flight"`
-	Queued    int            `json:"queued"`
-	Cancels   int            `json:"cancels_pending"`
-	LongShare float64        `json:"long_share"`
-	WaitBias  float64        `json:"wait_bias"`
-	Upstreams []UpstreamDump `json:"upstreams"`
-	Requests  []RequestDump  `json:"requests"`
+	Policy   Policy `json:"policy"`
+	Draining bool   `json:"draining"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	Cancels  int    `json:"cancels_pending"`
+	// ShortDemand is in engines, MemoryReserve in tokens.
+	ShortDemand   float64        `json:"short_demand"`
+	MemoryReserve int            `json:"memory_reserve_tokens"`
+	WaitBias      float64        `json:"wait_bias"`
+	Upstreams     []UpstreamDump `json:"upstreams"`
+	Requests      []RequestDump  `json:"requests"`
 	// Omitted counts requests and upstreams beyond the bound.
 	Omitted int `json:"omitted"`
 }
@@ -53,13 +55,14 @@
 // those with the nearest deadlines first.
 func (c *Core) Dump(now time.Duration, limit int) Dump {
 	d := Dump{
-		Policy:    c.cfg.Policy,
-		Draining:  c.draining,
-		InFlight:  len(c.requests),
-		Queued:    len(c.queue.items),
-		Cancels:   c.cancels.len(),
-		LongShare: c.mix.longShare(),
-		WaitBias:  c.waits.factor(),
+		Policy:        c.cfg.Policy,
+		Draining:      c.draining,
+		InFlight:      len(c.requests),
+		Queued:        len(c.queue.items),
+		Cancels:       c.cancels.len(),
+		ShortDemand:   c.mix.shortDemand(),
+		MemoryReserve: c.reserve(),
+		WaitBias:      c.waits.factor(),
 	}
 	c.dumpUpstreams(now, limit, &d)
 	c.dumpRequests(now, limit, &d)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -28,11 +28,18 @@
 	now  time.Duration
 	// failed counts requests that found no engine.
 	failed int
-	// kept are engines held free for an overdue request.
+	// kept are engines held free for an overdue long request; others that are
+	// long may not go there.
 	kept []*upstream
-	// refusedAt is the least memory, in tokens, for which a single engine was
-	// sought in vain, by model; larger requests need not be tried.
-	refusedAt map[string]int
+	// refusedAt is the least memory, in tokens, for which engines were sought
+	// in vain; larger requests of the same class need not be tried.
+	refusedAt map[sizeClass]int
+}
+
+// sizeClass is what requests that may go to the same engines have in common.
+type sizeClass struct {
+	model string
+	lane  lane
 }
 
 func (p *pass) try(r *request) {
@@ -40,11 +47,15 @@
 	if r.notBefore > p.now {
 		return
 	}
-	if least, seen := p.refusedAt[r.Model]; seen && r.totalTokens() >= least && r.totalTokens() <= c.cfg.EngineMemory {
+	if p.hopeless(r) {
 		p.failed++
 		return
 	}
 	engines := c.candidates(r.Model)
+	if len(engines) == 0 {
+		p.failed++
+		return
+	}
 	group := p.choose(r, engines)
 	if group != nil {
 		c.start(p.now, r, group)
@@ -52,25 +63,30 @@
 	}
 	p.failed++
 	p.refuse(r)
-	if r.key < p.now && p.kept == nil {
+	if r.key < p.now && p.kept == nil && c.lane(r) == laneLong {
 		p.keepFor(r, engines)
 	}
 }
 
+// hopeless says whether a smaller request of the class found no engine. An
+// overdue one may go to more engines, so it is tried all the same.
+func (p *pass) hopeless(r *request) bool {
+	least, seen := p.refusedAt[sizeClass{model: r.Model, lane: p.core.lane(r)}]
+	return seen && r.totalTokens() >= least && r.key > p.now
+}
+
 func (p *pass) refuse(r *request) {
 	if p.refusedAt == nil {
-		p.refusedAt = make(map[string]int)
+		p.refusedAt = make(map[sizeClass]int)
 	}
-	if least, seen := p.refusedAt[r.Model]; !seen || r.totalTokens() < least {
-		p.refusedAt[r.Model] = r.totalTokens()
+	class := sizeClass{model: r.Model, lane: p.core.lane(r)}
+	if least, seen := p.refusedAt[class]; !seen || r.totalTokens() < least {
+		p.refusedAt[class] = r.totalTokens()
 	}
 }
 
 // keepFor holds the engines with the most free memory for an overdue request.
 func (p *pass) keepFor(r *request, engines []*upstream) {
-	if len(engines) == 0 {
-		return
-	}
 	f := p.core.fleet(p.now, engines)
 	least, _ := p.core.groupSize(r, &f)
 	p.kept = p.core.mostFree(engines, least)
@@ -87,21 +103,68 @@
 
 // choose returns the group for a request, the leader first, or nil.
 func (p *pass) choose(r *request, engines []*upstream) []*upstream {
-	free := p.unkept(engines)
-	if len(free) == 0 {
+	c := p.core
+	short, others := c.split(engines)
+	switch c.lane(r) {
+	case laneShort:
+		return single(p.chooseOne(r, short), func() *upstream { return p.chooseOne(r, others) })
+	case laneMedium:
+		return single(p.chooseOne(r, others), func() *upstream { return p.overflow(r, short) })
+	default:
+		return p.chooseLong(r, p.unkept(others))
+	}
+}
+
+// single wraps the first engine that was found.
+func single(u *upstream, otherwise func() *upstream) []*upstream {
+	if u == nil {
+		u = otherwise()
+	}
+	if u == nil {
 		return nil
 	}
-	f := p.core.fleet(p.now, free)
-	least, wanted := p.core.groupSize(r, &f)
-	if wanted == 1 {
-		u := p.chooseOne(r, free)
-		if u == nil {
-			return nil
+	return []*upstream{u}
+}
+
+// overflow lets an overdue request onto the engines of short ones, as long as
+// most of their memory is free.
+func (p *pass) overflow(r *request, short []*upstream) *upstream {
+	if r.key > p.now {
+		return nil
+	}
+	var roomy []*upstream
+	for _, u := range short {
+		total := u.memoryTotal(&p.core.cfg)
+		if float64(u.memoryUsed()+r.totalTokens()) <= overflowPart*float64(total) {
+			roomy = append(roomy, u)
 		}
-		return []*upstream{u}
+	}
+	return p.chooseOne(r, roomy)
+}
+
+// overflowPart is the part of the memory of an engine for short requests that
+// may be used when others overflow to it.
+const overflowPart = 0.6
+
+// chooseLong returns the engines for a long prompt, or nil while starting it
+// would take the memory that others are likely to need.
+func (p *pass) chooseLong(r *request, engines []*upstream) []*upstream {
+	c := p.core
+	if len(engines) == 0 {
+		return nil
+	}
+	f := c.fleet(p.now, engines)
+	// The largest prompts may not leave that much even on idle engines.
+	most := int(float64(f.memory)*(1-c.cfg.MemoryHeadroom)) - r.totalTokens()
+	if f.memoryFree-r.totalTokens() < min(c.reserve(), most) {
+		return nil
+	}
+	least, wanted := c.groupSize(r, &f)
+	if wanted == 1 {
+		return single(p.chooseOne(r, engines), func() *upstream { return nil })
 	}
 	for size := wanted; size >= least; size-- {
-		if group := p.chooseGroup(r, free, size); group != nil {
+		if group := p.chooseGroup(r, engines, size); group != nil {
 			return group
 		}
 	}
@@ -132,6 +195,9 @@
 // about the least.
 func (p *pass) chooseOne(r *request, engines []*upstream) *upstream {
 	c := p.core
+	if len(engines) == 0 {
+		return nil
+	}
 	options := make([]option, 0, len(engines))
 	meanLoad := c.meanLoad(p.now, engines)
 	for _, u := range engines {
@@ -139,9 +205,6 @@
 			options = append(options, o)
 		}
 	}
-	if long := r.cost.uncached >= c.cfg.LongTokens; long {
-		options = c.restrictLong(options, engines)
-	}
 	if len(options) == 0 {
 		return nil
 	}
@@ -159,7 +222,7 @@
 	}
 	rate := u.prefillRate(&c.cfg)
 	backlog := u.backlog(p.now)
-	long := r.cost.uncached >= c.cfg.LongTokens
+	long := c.lane(r) == laneLong
 	ahead := tokensTime(backlog, rate)
 	if ahead > c.cfg.BindWindow && (long || u.longs == 0) {
 		return option{}, false
@@ -204,27 +267,6 @@
 	return near[c.rng.IntN(len(near))]
 }
 
-// longEngines is the number of engines open to long prompts: their share of
-// the work as seen, with headroom, and at least one.
-func (c *Core) longEngines(total int) int {
-	n := int(c.mix.longShare()*c.cfg.LongHeadroom*float64(total) + 1)
-	return min(max(n, 1), max(1, total-1))
-}
-
-// restrictLong keeps the options among the first engines by name, which every
-// host of the data centre holds open to long prompts.
-func (c *Core) restrictLong(options []option, engines []*upstream) []option {
-	n := c.longEngines(len(engines))
-	open := engines[:min(n, len(engines))]
-	kept := options[:0]
-	for _, o := range options {
-		if slices.Contains(open, o.upstream) {
-			kept = append(kept, o)
-		}
-	}
-	return kept
-}
-
 // chooseGroup returns size engines that have the memory for their parts, the
 // least loaded first, or nil. Members are asked for memory all at once and
 // none waits while others hold, so two groups can't deadlock.
@@ -241,17 +283,7 @@
 	if len(fit) < size {
 		return nil
 	}
-	open := c.longEngines(len(engines))
-	preferred := func(u *upstream) int {
-		if slices.Index(engines, u) < open {
-			return 0
-		}
-		return 1
-	}
 	slices.SortStableFunc(fit, func(a, b *upstream) int {
-		if d := preferred(a) - preferred(b); d != 0 {
-			return d
-		}
 		return a.backlog(p.now) - b.backlog(p.now)
 	})
 	return fit[:size]
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -62,7 +62,10 @@
 type charge struct {
 	prefill int
 	memory  int
-	long    bool
+	// long says that a long prompt is still to be prefilled.
+	long bool
+	// light says that the memory counts as that of a request that is not long.
+	light bool
 }
 
 // usable says whether new work may go to the upstream.
@@ -155,7 +158,8 @@
 		ch := charge{
 			prefill: divideUp(r.cost.uncached, members),
 			memory:  divideUp(r.PromptTokens, members),
-			long:    r.cost.uncached >= c.cfg.LongTokens,
+			long:    c.lane(r) == laneLong,
+			light:   c.lane(r) != laneLong,
 		}
 		if i == 0 {
 			ch.memory += r.MaxTokens
@@ -165,6 +169,9 @@
 		if ch.long {
 			u.longs++
 		}
+		if ch.light {
+			c.lightMemory += ch.memory
+		}
 		r.charged = append(r.charged, ch)
 	}
 }
@@ -191,6 +198,9 @@
 	for i, u := range r.group {
 		u.requests--
 		u.change(now, 0, -r.charged[i].memory)
+		if r.charged[i].light {
+			c.lightMemory -= r.charged[i].memory
+		}
 	}
 	r.charged = r.charged[:0]
 }
