Tell long prompts' backlog apart, and choose groups by free memory

Cause: prompts of medium length queued behind each other on engines whose backlog was mostly a long prompt's, since the bind window was not applied there; groups were chosen by backlog and filled some engines' memory. Change: peers tell how much of their prefill is long; the window looks at what goes before; groups take the engines with the most free memory. Times in queue and to first token by class as metrics.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -160,7 +160,9 @@
 	Upstream      string
 	Requests      int
 	PrefillTokens int
-	MemoryTokens  int
+	// LongTokens is the part of PrefillTokens that belongs to long prompts.
+	LongTokens   int
+	MemoryTokens int
 }
 
 // PeerReported carries another host's work in flight; it replaces what was
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -222,12 +222,15 @@
 	}
 	rate := u.prefillRate(&c.cfg)
 	backlog := u.backlog(p.now)
-	long := c.lane(r) == laneLong
-	ahead := tokensTime(backlog, rate)
-	if ahead > c.cfg.BindWindow && (long || u.longs == 0) {
-		return option{}, false
+	if c.lane(r) == laneLong {
+		if u.longs > 0 {
+			return option{}, false
+		}
+	} else {
+		backlog = u.backlogAhead(p.now)
 	}
-	if long && u.longs > 0 {
+	ahead := tokensTime(backlog, rate)
+	if ahead > c.cfg.BindWindow {
 		return option{}, false
 	}
 	cached := cachedTokens(u, r)
@@ -235,7 +238,7 @@
 		cached = 0
 	}
 	score := ahead + tokensTime(r.PromptTokens-cached, rate)
-	if u.longs > 0 {
+	if u.longs > 0 || u.peerLongs() {
 		// The long prompt's work has the lower priority, but a step in
 		// progress is not interrupted.
 		score += u.decodeStep(&c.cfg)
@@ -268,7 +271,7 @@
 }
 
 // chooseGroup returns size engines that have the memory for their parts, the
-// least loaded first, or nil. Members are asked for memory all at once and
+// one with the most first, or nil. Members are asked for memory all at once and
 // none waits while others hold, so two groups can't deadlock.
 func (p *pass) chooseGroup(r *request, engines []*upstream, size int) []*upstream {
 	c := p.core
@@ -284,7 +287,7 @@
 		return nil
 	}
 	slices.SortStableFunc(fit, func(a, b *upstream) int {
-		return a.backlog(p.now) - b.backlog(p.now)
+		return b.memoryFree(&c.cfg) - a.memoryFree(&c.cfg)
 	})
 	return fit[:size]
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -34,8 +34,9 @@
 	requests int
 	prefill  int
 	memory   int
-	// longs counts own long prompts not yet prefilled.
-	longs int
+	// longs counts own long prompts not yet prefilled, and longPrefill their tokens.
+	longs       int
+	longPrefill int
 	// deltas are changes by this host that the last report may not show yet.
 	deltas       []delta
 	deltaPrefill int
@@ -115,6 +116,26 @@
 	return max(0, reported+u.deltaPrefill, known)
 }
 
+// backlogAhead is the part of the backlog that goes before a request that is
+// not long: engines process long prompts, whose priority is lower, after it.
+func (u *upstream) backlogAhead(now time.Duration) int {
+	long := u.longPrefill
+	for _, p := range u.peers {
+		long += p.work.LongTokens
+	}
+	return max(0, u.backlog(now)-long)
+}
+
+// peerLongs says whether another host has a long prompt in prefill there.
+func (u *upstream) peerLongs() bool {
+	for _, p := range u.peers {
+		if p.work.LongTokens > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // memoryUsed predicts the KV memory held on the engine, in tokens.
 func (u *upstream) memoryUsed() int {
 	known := u.memory
@@ -168,6 +189,7 @@
 		u.change(now, ch.prefill, ch.memory)
 		if ch.long {
 			u.longs++
+			u.longPrefill += ch.prefill
 		}
 		if ch.light {
 			c.lightMemory += ch.memory
@@ -183,6 +205,7 @@
 		u.change(now, -ch.prefill, 0)
 		if ch.long {
 			u.longs--
+			u.longPrefill -= ch.prefill
 		}
 		ch.prefill = 0
 		ch.long = false
@@ -385,6 +408,7 @@
 			Upstream:      u.name,
 			Requests:      u.requests,
 			PrefillTokens: u.prefill,
+			LongTokens:    u.longPrefill,
 			MemoryTokens:  u.memory,
 		})
 	}
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -133,6 +133,7 @@
 		Owner:          engine.Owner{Host: p.settings.Host, Incarnation: p.incarnation},
 		SilenceTimeout: dispatch.DefaultConfig().SilenceTimeout,
 		ControlTimeout: controlTimeout,
+		Metrics:        p.metrics,
 	}
 	p.executor = traffic.NewExecutor(cfg, p.clock, p.engines, p.services, p.guard(), post)
 	hosts := func() int { return int(p.hosts.Load()) }
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -59,6 +59,7 @@
 	final  chan Result
 	gone   context.Context
 	done   chan struct{}
+	opened time.Time
 
 	mu sync.Mutex
 	// attempt is the only one whose pieces are delivered; 0 is none.
@@ -83,6 +84,7 @@
 		pieces:   make(chan engine.Piece, pieceBuffer),
 		final:    make(chan Result, 1),
 		done:     make(chan struct{}),
+		opened:   time.Now(),
 	}
 }
 
@@ -220,3 +222,19 @@
 	}
 	return Result{Code: f.Code, Outcome: f.Outcome, RetryAfter: f.RetryAfter}
 }
+
+// classes are the upper bounds, in tokens, of the prompt lengths told apart in metrics.
+var classes = []struct {
+	below int
+	name  string
+}{{4_000, "1k-4k"}, {32_000, "4k-32k"}, {100_001, "32k-100k"}}
+
+// class names the request's class of prompt length.
+func (x *Exchange) class() string {
+	for _, c := range classes {
+		if x.Request.PromptTokens < c.below {
+			return c.name
+		}
+	}
+	return "100k-1M"
+}
--- a/internal/traffic/executor.go
+++ b/internal/traffic/executor.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/engine"
 	"github.com/chestnutline/chestnutline/internal/service"
+	"github.com/chestnutline/chestnutline/internal/telemetry"
 )
 
 // Config holds the parameters of an Executor.
@@ -19,6 +20,8 @@
 	Owner engine.Owner
 	// SilenceTimeout is how long a stream may be silent between pieces.
 	SilenceTimeout time.Duration
+	// Metrics takes the times that requests wait; docs/METRICS.md names them.
+	Metrics *telemetry.Set
 	// ControlTimeout bounds a reservation and a cancel.
 	ControlTimeout time.Duration
 }
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -11,6 +11,12 @@
 	"github.com/chestnutline/chestnutline/internal/engine"
 )
 
+// Metrics of streams, by class of prompt length.
+const (
+	metricQueue      = "request_queue_seconds"
+	metricFirstToken = "request_first_token_seconds"
+)
+
 // Reasons with which an engine ends a stream.
 const (
 	finishStop   = "stop"
@@ -38,6 +44,7 @@
 	if !ok {
 		return
 	}
+	e.cfg.Metrics.Observe(metricQueue, time.Since(x.opened), "class", x.class())
 	s := stream{executor: e, exchange: x, attempt: f.Attempt, ctx: ctx, first: f.FirstTokenTimeout, silence: e.cfg.SilenceTimeout}
 	s.run(func(ctx context.Context) (engine.Stream, error) {
 		return e.engines.Generate(ctx, f.Group[0].Address, e.request(x, f))
@@ -115,6 +122,7 @@
 		case accepted:
 		}
 		if before == 0 && p.Tokens > 0 {
+			s.executor.cfg.Metrics.Observe(metricFirstToken, time.Since(s.exchange.opened), "class", s.exchange.class())
 			s.executor.report(dispatch.FirstToken{ID: s.exchange.ID, Attempt: s.attempt})
 		}
 		if p.Finish != "" {
