Keep member tables in step within the traffic limit

A start of all 470 hosts did not agree within 120 s: every host was in debt for tables sent to hosts that knew as much. Sections now carry a weight that grows with knowledge, replies are bounded, another data centre only asks for the section that its side answers for, and tables have an allowance of their own. Ruled out: a larger burst alone, as most of it was spent in vain.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -25,12 +25,14 @@
 	// every host another one, or their timers stay in step.
 	Seed uint64
 
-	// BytesPerSecond is what a host may send on average; it receives as much.
-	// Less makes digests older, more costs traffic. 0 means no limit: every
-	// heartbeat then goes out at the shortest interval.
+	// BytesPerSecond is what a host may send on average in heartbeats; it
+	// receives as much. Member tables may cost a quarter as much again while
+	// members change. Less makes digests older, more costs traffic. 0 means no
+	// limit: every heartbeat then goes out at the shortest interval.
 	BytesPerSecond int
 	// BurstBytes is what may be sent at once after quiet time, so that news
-	// spreads fast. More makes joins and failures cost higher peaks.
+	// spreads fast; four times as much for member tables. More makes joins and
+	// failures cost higher peaks, less makes them slower to be known.
 	BurstBytes int
 
 	// HeartbeatInterval is the shortest mean interval between two heartbeats
@@ -93,7 +95,7 @@
 // centres at less than 3 KB/s sent and received per host.
 func DefaultConfig() Config {
 	return Config{
-		BytesPerSecond:    1300,
+		BytesPerSecond:    1150,
 		BurstBytes:        16 << 10,
 		HeartbeatInterval: time.Second,
 		Watchers:          3,
@@ -105,7 +107,7 @@
 		BridgeInterval:    2 * time.Second,
 		UnreachableAfter:  12 * time.Second,
 		DeadProbeInterval: 5 * time.Second,
-		SyncInterval:      4 * time.Second,
+		SyncInterval:      2 * time.Second,
 		ForgetAfter:       10 * time.Minute,
 		PushDelay:         300 * time.Millisecond,
 		MaxPause:          2 * time.Second,
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -45,7 +45,7 @@
 	// unpublished says that a shown account may differ.
 	unpublished bool
 	forgetAt    time.Duration
-	sections    map[string]uint32
+	sections    map[string]wire.Section
 	listed      map[string]Listed
 	listing     []string
 
@@ -57,7 +57,9 @@
 	probeAt time.Duration
 	// tables compares the whole table with hosts of the data centre.
 	tables comparison
-	credit float64
+	// traffic pays for heartbeats, tableTraffic for member tables.
+	traffic      bucket
+	tableTraffic bucket
 	// meanSize is the moving average of heartbeats within the data centre, in bytes.
 	meanSize float64
 
@@ -76,17 +78,18 @@
 		return nil, err
 	}
 	c := &Core{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
-		members:  make(map[string]*member),
-		sites:    make(map[string]*site),
-		sections: make(map[string]uint32),
-		listed:   make(map[string]Listed),
-		news:     make(map[string]*newsItem),
-		loads:    make(map[string]wire.UpstreamLoad),
-		credit:   float64(cfg.BurstBytes),
-		meanSize: initialMeanSize,
-		stale:    true,
+		cfg:          cfg,
+		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		members:      make(map[string]*member),
+		sites:        make(map[string]*site),
+		sections:     make(map[string]wire.Section),
+		listed:       make(map[string]Listed),
+		news:         make(map[string]*newsItem),
+		loads:        make(map[string]wire.UpstreamLoad),
+		traffic:      newBucket(cfg.BytesPerSecond, cfg.BurstBytes),
+		tableTraffic: newBucket(cfg.BytesPerSecond/tableShare, tableBursts*cfg.BurstBytes),
+		meanSize:     initialMeanSize,
+		stale:        true,
 	}
 	c.self = wire.Member{
 		Host:        cfg.Self.Name,
@@ -168,8 +171,8 @@
 	if now <= c.now {
 		return
 	}
-	earned := (now - c.now).Seconds() * float64(c.cfg.BytesPerSecond)
-	c.credit = min(c.credit+earned, float64(c.cfg.BurstBytes))
+	c.traffic.earn(now - c.now)
+	c.tableTraffic.earn(now - c.now)
 	c.now = now
 }
 
@@ -203,23 +206,6 @@
 	c.effects = append(c.effects, e)
 }
 
-// send emits a message and pays for it.
-func (c *Core) send(to string, m wire.Message) {
-	c.credit -= float64(wire.Size(m))
-	c.emit(Send{To: to, Message: m})
-}
-
-// hasCredit tells whether traffic beyond the regular heartbeats may be sent.
-func (c *Core) hasCredit() bool {
-	return c.cfg.BytesPerSecond == 0 || c.credit > 0
-}
-
-// affordsNews tells whether news may be sent. Comparing tables is cheaper when
-// much has changed, so news leaves a part of the credit for that.
-func (c *Core) affordsNews() bool {
-	return c.cfg.BytesPerSecond == 0 || c.credit > newsReserve*float64(c.cfg.BurstBytes)
-}
-
 // announce tells the data centre and the partners elsewhere of this host's own
 // new state, at once.
 func (c *Core) announce(state wire.State) {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -15,8 +15,6 @@
 }
 
 const (
-	// newsReserve is the share of the burst that news leaves for tables.
-	newsReserve = 0.25
 	// newsRounds times the logarithm of the number of members is how often a
 	// host passes one piece of news on.
 	newsRounds = 2
@@ -40,7 +38,7 @@
 	h := c.digest(probe, m.DataCentre)
 	own := m.DataCentre == c.self.DataCentre
 	if own {
-		h.Loads = c.loadsFor(m)
+		h.Loads = c.loadsDue(m)
 		h.Suspected, h.Leaving = c.suspected, c.leaving
 		h.Contacts = c.contacts()
 	}
@@ -52,8 +50,8 @@
 		h.Members = append(h.Members, m.Member)
 	}
 	size := wire.Size(h)
-	if c.affordsNews() {
-		h.Members = c.addNews(h.Members, own, m.Host)
+	if c.traffic.affords(newsReserve * c.traffic.burst) {
+		h.Members = c.addNews(h.Members, m)
 	}
 	c.send(m.Address, h)
 	return size
@@ -85,24 +83,18 @@
 	}
 }
 
-// addNews appends the news told least often. Other data centres only get news
-// of this one.
-func (c *Core) addNews(members []wire.Member, own bool, receiver string) []wire.Member {
-	var items []*newsItem
-	for _, item := range c.news {
-		if item.Host == receiver || (!own && item.DataCentre != c.self.DataCentre) {
-			continue
-		}
-		items = append(items, item)
-	}
+// addNews appends the news told least often.
+func (c *Core) addNews(members []wire.Member, to *member) []wire.Member {
+	items := c.newsFor(to)
 	sort.Slice(items, func(i, j int) bool {
 		if items[i].left != items[j].left {
 			return items[i].left > items[j].left
 		}
 		return items[i].Host < items[j].Host
 	})
+	same := to.tableHash == c.hashFor(to.DataCentre)
 	for _, item := range items[:min(len(items), c.cfg.MaxNews)] {
-		if !tells(members, item.Member) {
+		if !tells(members, item.Member) && !(same && hashed(item.Member)) {
 			members = append(members, item.Member)
 		}
 		item.left--
@@ -113,6 +105,25 @@
 	return members
 }
 
+// newsFor lists the news that concerns a host. Other data centres only get
+// news of this one.
+func (c *Core) newsFor(to *member) []*newsItem {
+	own := to.DataCentre == c.self.DataCentre
+	var items []*newsItem
+	for _, item := range c.news {
+		if item.Host != to.Host && (own || item.DataCentre == c.self.DataCentre) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// hashed tells whether equal table hashes show that the other host knows this
+// account of a member.
+func hashed(m wire.Member) bool {
+	return m.State != wire.Suspect && m.Refutation == 0
+}
+
 func tells(members []wire.Member, u wire.Member) bool {
 	for _, m := range members {
 		if m == u {
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -14,6 +14,9 @@
 	// loadRefresh is the age from which a told load is told again, as the
 	// message that held it may have been lost.
 	loadRefresh = 5 * time.Second
+	// loadsEarliest is the least time between two heartbeats with loads to one
+	// host, as a share of the mean interval.
+	loadsEarliest = 0.5
 	// loadBytes and otherBytes estimate one load and the rest of a heartbeat.
 	loadBytes  = 24
 	otherBytes = 60
@@ -37,6 +40,16 @@
 	}
 }
 
+// loadsDue returns the loads for a heartbeat. A watcher gets heartbeats more
+// often than loads.
+func (c *Core) loadsDue(m *member) []wire.UpstreamLoad {
+	if m.loadsAt > 0 && !c.due(m.loadsAt, c.interval(), loadsEarliest) {
+		return nil
+	}
+	m.loadsAt = c.now
+	return c.loadsFor(m)
+}
+
 // loadsFor picks the loads that differ most from what the member was told,
 // and one that was told long ago.
 func (c *Core) loadsFor(m *member) []wire.UpstreamLoad {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -28,6 +28,10 @@
 	// that it has answered since.
 	introducedAt time.Duration
 	met          bool
+	// tableHash is of its last heartbeat.
+	tableHash uint32
+	// loadsAt is when the last heartbeat with loads was sent to the host.
+	loadsAt time.Duration
 	// sent holds the loads last told to the host.
 	sent map[string]toldLoad
 	// suspected and leaving are the upstreams of its last digest, sorted.
@@ -108,7 +112,7 @@
 	m.heardAt = now
 	m.met = false
 	m.introducedAt = 0
-	m.sent = nil
+	m.sent, m.loadsAt, m.tableHash = nil, 0, 0
 	m.suspected, m.leaving = nil, nil
 }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -52,6 +52,7 @@
 	for _, contact := range h.Contacts {
 		c.contacted(contact.DataCentre, c.now-time.Duration(contact.AgeMillis)*time.Millisecond)
 	}
+	m.tableHash = h.TableHash
 	m.suspected, m.leaving = h.Suspected, h.Leaving
 	c.emitDigest(m, h)
 	c.answer(m, h)
@@ -74,14 +75,14 @@
 
 // askStranger asks a sender that has not said where it is for its table.
 func (c *Core) askStranger(from string, h wire.Heartbeat) {
-	if h.Host != c.self.Host && h.State != wire.Dead && c.hasCredit() {
-		c.send(from, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionHashes()})
+	if h.Host != c.self.Host && h.State != wire.Dead && c.tableTraffic.affords(0) {
+		c.send(from, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionList()})
 	}
 }
 
 // tellOutdated tells a process that a later one of the same name is known.
 func (c *Core) tellOutdated(from string, m *member) {
-	if !c.hasCredit() {
+	if !c.traffic.affords(0) {
 		return
 	}
 	h := c.digest(false, m.DataCentre)
--- a/internal/membership/schedule.go
+++ b/internal/membership/schedule.go
@@ -14,7 +14,7 @@
 	// spreadShare is the share of the traffic limit for heartbeats to hosts
 	// that do not watch this one; the rest is for watchers, other data
 	// centres and news.
-	spreadShare = 0.5
+	spreadShare = 0.65
 	// joinProbes is how many listed hosts are tried at once when none is known.
 	joinProbes = 3
 	// pushPeers is how many peers news is pushed to.
@@ -46,12 +46,17 @@
 
 // intervalTo is the mean time between two heartbeats to a peer.
 func (c *Core) intervalTo(m *member) time.Duration {
-	if c.cfg.Watchers > 0 && c.topology.watchers[m.Host] {
+	if c.watchedBy(m) {
 		return c.cfg.WatchInterval
 	}
 	return c.interval()
 }
 
+// watchedBy tells whether a peer is one of the few that watch this host.
+func (c *Core) watchedBy(m *member) bool {
+	return c.cfg.Watchers > 0 && c.topology.watchers[m.Host]
+}
+
 // sendDue sends the heartbeats that are due within the data centre.
 func (c *Core) sendDue() {
 	for _, m := range c.peers() {
@@ -59,7 +64,9 @@
 			continue
 		}
 		size := c.heartbeat(m, false)
-		c.meanSize += meanSizeWeight * (float64(size) - c.meanSize)
+		if !c.watchedBy(m) {
+			c.meanSize += meanSizeWeight * (float64(size) - c.meanSize)
+		}
 	}
 }
 
@@ -180,7 +187,7 @@
 
 // pushDue sends news to a few random peers and to other data centres.
 func (c *Core) pushDue() {
-	if c.pushAt == 0 || c.now < c.pushAt || !c.hasCredit() {
+	if c.pushAt == 0 || c.now < c.pushAt || !c.traffic.affords(0) {
 		return
 	}
 	c.pushAt = 0
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -9,36 +9,38 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// syncMembers bounds the entries of one reply, so that it fits a frame whatever
-// the length of the names.
-const syncMembers = 100
+const (
+	// syncMembers bounds the entries of one reply, so that it fits a frame
+	// whatever the length of the names.
+	syncMembers = 100
+	// syncSections bounds the sections sent for one request.
+	syncSections = 4
+	// lighterOneIn is how rarely a section goes that seems to know less.
+	lighterOneIn = 4
+)
 
 // tableHash covers the members that are not dead, this host among them.
 // Suspicion and refutation are left out, since they pass.
 func (c *Core) tableHash() uint32 {
-	hash := c.section(c.self.DataCentre)
+	hash := c.section(c.self.DataCentre).Hash
 	for _, name := range c.siteList {
-		hash ^= c.section(name)
+		hash ^= c.section(name).Hash
 	}
 	return hash
 }
 
-// section returns the hash of one data centre's members.
-func (c *Core) section(site string) uint32 {
-	if hash, ok := c.sections[site]; ok {
-		return hash
-	}
-	var hash uint32
-	if site == c.self.DataCentre {
-		hash = memberHash(c.self)
-	}
-	for _, name := range c.names {
-		if m := c.members[name]; m.DataCentre == site {
-			hash ^= memberHash(m.Member)
-		}
-	}
-	c.sections[site] = hash
-	return hash
+// section sums up one data centre's members.
+func (c *Core) section(site string) wire.Section {
+	if s, ok := c.sections[site]; ok {
+		return s
+	}
+	s := wire.Section{DataCentre: site}
+	for _, m := range c.entries(site) {
+		s.Hash ^= memberHash(m)
+		s.Weight += memberWeight(m)
+	}
+	c.sections[site] = s
+	return s
 }
 
 func memberHash(m wire.Member) uint32 {
@@ -53,10 +55,18 @@
 	return uint32(xxhash.Sum64(key))
 }
 
-func (c *Core) sectionHashes() []wire.Section {
-	list := []wire.Section{{DataCentre: c.self.DataCentre, Hash: c.section(c.self.DataCentre)}}
+// memberWeight grows whenever a later account overrides an earlier one, so
+// that of two sections the one that knows more is the heavier.
+func memberWeight(m wire.Member) uint64 {
+	const stateBits, refutationBits = 2, 6
+	refutation := min(uint64(m.Refutation), 1<<refutationBits-1)
+	return m.Incarnation<<(refutationBits+stateBits) + refutation<<stateBits + uint64(m.State)
+}
+
+func (c *Core) sectionList() []wire.Section {
+	list := []wire.Section{c.section(c.self.DataCentre)}
 	for _, name := range c.siteList {
-		list = append(list, wire.Section{DataCentre: name, Hash: c.section(name)})
+		list = append(list, c.section(name))
 	}
 	return list
 }
@@ -73,7 +83,7 @@
 	if dataCentre == c.self.DataCentre {
 		return c.tableHash()
 	}
-	return c.section(c.self.DataCentre)
+	return c.section(c.self.DataCentre).Hash
 }
 
 // compareTables asks a member for what differs.
@@ -81,13 +91,13 @@
 	s := c.site(m.DataCentre)
 	if s == nil {
 		if c.wants(&c.tables, hash == c.tableHash()) {
-			c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionHashes()})
+			c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionList()})
 		}
 		return
 	}
 	ours := c.section(s.name)
-	if c.wants(&s.tables, hash == ours) {
-		c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{{DataCentre: s.name, Hash: ours}}})
+	if c.wants(&s.tables, hash == ours.Hash) {
+		c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{ours}})
 	}
 }
 
@@ -109,24 +119,33 @@
 	return true
 }
 
-// answerSync sends every section that differs or that the asker lacks, and to
-// another data centre only the section that it asks for.
+// answerSync sends a few sections of which this host knows more than the
+// asker. Weights cannot tell which of two sections knows more when each knows
+// something that the other lacks, so now and then a lighter one goes as well.
 func (c *Core) answerSync(from string, r wire.SyncRequest) {
-	if c.cfg.BytesPerSecond > 0 && c.credit < -float64(c.cfg.BurstBytes) {
+	if !c.tableTraffic.affords(0) {
 		return
 	}
-	theirs := make(map[string]uint32, len(r.Sections))
+	theirs := make(map[string]wire.Section, len(r.Sections))
 	for _, s := range r.Sections {
-		theirs[s.DataCentre] = s.Hash
+		theirs[s.DataCentre] = s
 	}
 	asker := c.members[r.Host]
 	remote := asker != nil && asker.DataCentre != c.self.DataCentre
-	for _, ours := range c.sectionHashes() {
-		hash, known := theirs[ours.DataCentre]
-		if (known && hash == ours.Hash) || (remote && !known) {
+	var differ []string
+	for _, ours := range c.sectionList() {
+		other, known := theirs[ours.DataCentre]
+		if ours.Hash == other.Hash || (remote && !known) {
 			continue
 		}
-		c.sendSection(from, ours.DataCentre)
+		if ours.Weight > other.Weight || c.rng.IntN(lighterOneIn) == 0 {
+			differ = append(differ, ours.DataCentre)
+		}
+	}
+	for n := 0; n < syncSections && len(differ) > 0; n++ {
+		i := c.rng.IntN(len(differ))
+		c.sendSection(from, differ[i])
+		differ = append(differ[:i], differ[i+1:]...)
 	}
 }
 
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -91,7 +91,11 @@
 }
 
 func (d *decoder) section() Section {
-	return Section{DataCentre: d.string(), Hash: uint32(d.uint(math.MaxUint32))}
+	return Section{
+		DataCentre: d.string(),
+		Hash:       uint32(d.uint(math.MaxUint32)),
+		Weight:     d.uint(math.MaxUint64),
+	}
 }
 
 func (d *decoder) string() string {
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -72,6 +72,7 @@
 func (e *encoder) section(s Section) {
 	e.string(s.DataCentre)
 	e.uint(uint64(s.Hash))
+	e.uint(s.Weight)
 }
 
 func (e *encoder) string(s string) {
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -23,7 +23,7 @@
 			Suspected: []string{"engine-1"}, Leaving: []string{"engine-2", "engine-3"},
 			Contacts: []Contact{{DataCentre: "lim-b", AgeMillis: 1200}},
 		},
-		SyncRequest{Host: "lim-a-1", Sections: []Section{{DataCentre: "lim-b", Hash: 5}}},
+		SyncRequest{Host: "lim-a-1", Sections: []Section{{DataCentre: "lim-b", Hash: 5, Weight: 1 << 50}}},
 		SyncReply{Host: "lim-a-1", Members: []Member{member}},
 	}
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -73,10 +73,13 @@
 	AgeMillis uint32
 }
 
-// Section is the hash of one data centre's part of the member table.
+// Section sums up one data centre's part of the member table.
 type Section struct {
 	DataCentre string
-	Hash       uint32
+	// Hash differs when the members that are not dead differ.
+	Hash uint32
+	// Weight grows with everything learned about the members.
+	Weight uint64
 }
 
 // Message is one of Hello, Ping, Pong, Heartbeat, SyncRequest and SyncReply.
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -43,7 +43,7 @@
 }
 
 func sectionSize(s Section) int {
-	return stringSize(s.DataCentre) + uintSize(uint64(s.Hash))
+	return stringSize(s.DataCentre) + uintSize(uint64(s.Hash)) + uintSize(s.Weight)
 }
 
 func stringSize(s string) int {
