Prove membership against cuts, pauses, loss and restarts

Found on the way: a side whose hosts were all replaced during a cut left ghosts on the other, since nobody remembered their death; the member's own data centre now asks back and suspects what only another one knows. Suspicions stay within a data centre.

--- a/internal/membership/experiment/fleet.go
+++ b/internal/membership/experiment/fleet.go
@@ -17,7 +17,8 @@
 	// Listing is the platform's list, which holds all hosts ever added.
 	Listing membership.DirectoryListed
 
-	base membership.Config
+	base     membership.Config
+	replaced int
 }
 
 // NewFleet starts hosts in data centres. The platform's list holds them all.
@@ -61,6 +62,29 @@
 	return node, nil
 }
 
+// Replace ends a host and starts another one, with a name and address of its
+// own, in the same data centre. The platform's list is changed, but no host
+// is told of it.
+func (f *Fleet) Replace(i int) (*Node, error) {
+	old := f.Listing.Hosts[i]
+	f.byAddr[old.Address].Down = true
+	f.replaced++
+	f.Listing.Hosts = append([]membership.Listed(nil), f.Listing.Hosts...)
+	f.Listing.Hosts[i] = membership.Listed{
+		Name:       fmt.Sprintf("%s-%d", old.Name, f.replaced),
+		DataCentre: old.DataCentre,
+		Address:    fmt.Sprintf("127.1.%d.%d:7000", f.replaced/250, f.replaced%250+1),
+	}
+	return f.Start(i)
+}
+
+// Publish tells the platform's list to every running host.
+func (f *Fleet) Publish() {
+	for _, node := range f.Up() {
+		f.Step(node, f.Listing)
+	}
+}
+
 // Up returns the nodes that run.
 func (f *Fleet) Up() []*Node {
 	var up []*Node
--- a/internal/membership/experiment/network.go
+++ b/internal/membership/experiment/network.go
@@ -29,6 +29,10 @@
 type Network struct {
 	// Loss is the share of messages lost, from 0 to 1.
 	Loss float64
+	// Separated, when set, tells that messages between two nodes are lost.
+	Separated func(from, to *Node) bool
+	// Rewrite, when set, changes what a node receives.
+	Rewrite func(to *Node, m wire.Message) wire.Message
 	// OnEffect, when set, sees every effect but Send.
 	OnEffect func(now time.Duration, host string, e membership.Effect)
 
@@ -41,7 +45,6 @@
 	byAddr map[string]*Node
 	queue  schedule
 	seq    uint64
-	cut    map[[2]string]bool
 }
 
 // Node is one host of the network.
@@ -56,8 +59,6 @@
 	// Frozen says that the process is paused: it neither ticks nor takes
 	// messages, and what arrives waits.
 	Frozen bool
-	// Isolated says that nothing reaches or leaves the host.
-	Isolated bool
 
 	started time.Duration
 	waiting []membership.Received
@@ -68,7 +69,6 @@
 	return &Network{
 		rng:    rand.New(rand.NewPCG(seed, seed)),
 		byAddr: make(map[string]*Node),
-		cut:    make(map[[2]string]bool),
 	}
 }
 
@@ -98,12 +98,6 @@
 	return node, nil
 }
 
-// Cut separates two data centres, or joins them again.
-func (n *Network) Cut(a, b string, separated bool) {
-	n.cut[[2]string{a, b}] = separated
-	n.cut[[2]string{b, a}] = separated
-}
-
 // Step passes an event to a node.
 func (n *Network) Step(node *Node, e membership.Event) {
 	n.carryOut(node, node.Core.Step(n.now-node.started, e))
@@ -181,8 +175,10 @@
 }
 
 func (n *Network) lost(from, to *Node) bool {
-	separated := n.cut[[2]string{from.Host.DataCentre, to.Host.DataCentre}]
-	return separated || from.Isolated || to.Isolated || n.rng.Float64() < n.Loss
+	if n.Separated != nil && n.Separated(from, to) {
+		return true
+	}
+	return n.rng.Float64() < n.Loss
 }
 
 func (n *Network) delay(from, to *Node) time.Duration {
@@ -202,6 +198,9 @@
 	if err != nil {
 		panic(fmt.Sprintf("a frame does not survive the network: %v", err))
 	}
+	if n.Rewrite != nil {
+		m = n.Rewrite(to, m)
+	}
 	r := membership.Received{From: from.Host.Address, Message: m}
 	if to.Frozen {
 		to.waiting = append(to.waiting, r)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -63,7 +63,8 @@
 }
 
 // merge takes another host's account of a member and returns the member, or
-// nil if it is this host or unknown.
+// nil if it is this host or unknown. A suspicion is for the member's own data
+// centre to settle, so others leave it aside.
 func (c *Core) merge(u wire.Member) *member {
 	if u.Host == c.self.Host {
 		c.deny(u)
@@ -72,6 +73,9 @@
 	if u.Host == "" || u.DataCentre == "" || u.Address == "" {
 		return nil
 	}
+	if u.State == wire.Suspect && u.DataCentre != c.self.DataCentre {
+		u.State = wire.Alive
+	}
 	m := c.members[u.Host]
 	if m == nil {
 		return c.meet(u)
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -21,7 +21,11 @@
 // that is little; otherwise the others had better compare tables as well.
 func (c *Core) receiveSection(r wire.SyncReply) {
 	c.bulk = true
+	remote := c.isRemote(r.Host)
 	for _, u := range r.Members {
+		if remote {
+			u = c.doubt(u)
+		}
 		c.merge(u)
 	}
 	found := c.found
@@ -59,6 +63,21 @@
 	c.compareTables(m, h.TableHash)
 }
 
+// doubt suspects a member of this data centre of which only another one
+// knows. If it lives it hears of that and denies.
+func (c *Core) doubt(u wire.Member) wire.Member {
+	if u.DataCentre != c.self.DataCentre || u.Host == c.self.Host || c.members[u.Host] != nil {
+		return u
+	}
+	if u.State == wire.Alive {
+		u.State = wire.Suspect
+	}
+	if u.State != wire.Dead {
+		c.probe(u.Address, u.DataCentre)
+	}
+	return u
+}
+
 // sender finds the member that sent the heartbeat and takes its own account.
 func (c *Core) sender(h wire.Heartbeat) *member {
 	if h.Host == c.self.Host {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -130,15 +130,14 @@
 	for _, s := range r.Sections {
 		theirs[s.DataCentre] = s
 	}
-	asker := c.members[r.Host]
-	remote := asker != nil && asker.DataCentre != c.self.DataCentre
+	remote := c.isRemote(r.Host)
 	var differ []string
 	for _, ours := range c.sectionList() {
 		other, known := theirs[ours.DataCentre]
 		if ours.Hash == other.Hash || (remote && !known) {
 			continue
 		}
-		if ours.Weight > other.Weight || c.rng.IntN(lighterOneIn) == 0 {
+		if remote || ours.Weight > other.Weight || c.rng.IntN(lighterOneIn) == 0 {
 			differ = append(differ, ours.DataCentre)
 		}
 	}
@@ -147,6 +146,28 @@
 		c.sendSection(from, differ[i])
 		differ = append(differ[:i], differ[i+1:]...)
 	}
+	if other, known := theirs[c.self.DataCentre]; remote && known {
+		c.askBack(from, r.Host, other)
+	}
+}
+
+// askBack asks another data centre what it believes of this one, as it may
+// know members that are gone with everybody who could tell of their end. A
+// host that has just started does not, since it may merely know less.
+func (c *Core) askBack(to, host string, theirs wire.Section) {
+	if c.now < c.cfg.UnreachableAfter {
+		return
+	}
+	ours := c.section(c.self.DataCentre)
+	s := c.site(c.members[host].DataCentre)
+	if c.wants(&s.back, theirs.Hash == ours.Hash) {
+		c.send(to, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{ours}})
+	}
+}
+
+func (c *Core) isRemote(host string) bool {
+	m := c.members[host]
+	return m != nil && m.DataCentre != c.self.DataCentre
 }
 
 func (c *Core) sendSection(to, site string) {
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -31,8 +31,10 @@
 	reachable bool
 	// triedAt and jitter time the attempts to reach it when it is silent.
 	triedAt time.Duration
-	tables  comparison
-	jitter  float64
+	// tables compares that data centre's section, back this one's.
+	tables comparison
+	back   comparison
+	jitter float64
 }
 
 // site returns the record of another data centre, or nil for this one.
