--- /dev/null
+++ b/internal/membership/core_test.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chestnutline/chestnutline/internal/wire"
+)
+
+// TestMain fixes rapid's seed unless one is given, so that every run has the
+// same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := flag.Set("rapid.seed", "20"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func testConfig() Config {
+	cfg := DefaultConfig()
+	cfg.Self = Host{Name: "self", DataCentre: "dc-0", Address: "127.0.0.1:1", Incarnation: 100}
+	return cfg
+}
+
+func newCore(t interface{ Fatal(...any) }) *Core {
+	c, err := New(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// account draws what some host might say of another one, or of this host.
+func account(t *rapid.T) wire.Member {
+	i := rapid.IntRange(0, 5).Draw(t, "host")
+	m := wire.Member{
+		Host:        fmt.Sprintf("host-%d", i),
+		DataCentre:  fmt.Sprintf("dc-%d", i%2),
+		Address:     fmt.Sprintf("127.0.0.2:%d", i+1),
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		Refutation:  rapid.Uint32Range(0, 2).Draw(t, "refutation"),
+		State:       wire.State(rapid.IntRange(0, int(wire.Dead)).Draw(t, "state")),
+	}
+	if rapid.IntRange(0, 9).Draw(t, "about self") == 0 {
+		m.Host, m.DataCentre, m.Address = "self", "dc-0", "127.0.0.1:1"
+		m.Incarnation += 98
+	}
+	return m
+}
+
+// TestAccountsMayComeInAnyOrder merges the same accounts in two orders.
+func TestAccountsMayComeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.SliceOfN(rapid.Custom(account), 1, 30).Draw(t, "accounts")
+		shuffled := rapid.Permutation(accounts).Draw(t, "shuffled")
+		first, second := newCore(t), newCore(t)
+		for i := range 6 {
+			known := wire.Member{Host: fmt.Sprintf("host-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%2), Address: fmt.Sprintf("127.0.0.2:%d", i+1)}
+			first.merge(known)
+			second.merge(known)
+		}
+		for i := range accounts {
+			first.merge(accounts[i])
+			second.merge(shuffled[i])
+		}
+		if a, b := first.Members(), second.Members(); !reflect.DeepEqual(a, b) {
+			t.Fatalf("orders differ:\n%v\n%v", a, b)
+		}
+		if a, b := first.tableHash()^memberHash(first.self), second.tableHash()^memberHash(second.self); a != b {
+			t.Fatalf("hashes differ: %x and %x", a, b)
+		}
+	})
+}
+
+// message draws any message, well-meant or not.
+func message(t *rapid.T) wire.Message {
+	members := rapid.SliceOfN(rapid.Custom(account), 0, 5).Draw(t, "members")
+	sender := account(t)
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		return wire.Heartbeat{
+			Host: sender.Host, Incarnation: sender.Incarnation, Refutation: sender.Refutation, State: sender.State,
+			Probe: rapid.Bool().Draw(t, "probe"), TableHash: rapid.Uint32().Draw(t, "hash"), Members: members,
+			ConfigVersion: rapid.Uint64Range(0, 9).Draw(t, "version"),
+			Contacts:      []wire.Contact{{DataCentre: sender.DataCentre, AgeMillis: rapid.Uint32().Draw(t, "age")}},
+		}
+	case 1:
+		return wire.SyncRequest{Host: sender.Host, Sections: []wire.Section{{DataCentre: sender.DataCentre, Hash: rapid.Uint32().Draw(t, "hash")}}}
+	default:
+		return wire.SyncReply{Host: sender.Host, Members: members}
+	}
+}
+
+// TestAnyMessagesKeepInvariants feeds generated messages and checks what must
+// hold whatever others say.
+func TestAnyMessagesKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(t)
+		var now time.Duration
+		var version, incarnation uint64
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond
+			effects := c.Tick(now)
+			effects = append(effects, c.Step(now, Received{From: "127.0.0.2:1", Message: message(t)})...)
+			for _, e := range effects {
+				checkEffect(t, e)
+			}
+			if c.ConfigVersion() < version || c.Self().Incarnation < incarnation {
+				t.Fatalf("went back to version %d, incarnation %d", c.ConfigVersion(), c.Self().Incarnation)
+			}
+			version, incarnation = c.ConfigVersion(), c.Self().Incarnation
+		}
+	})
+}
+
+func checkEffect(t *rapid.T, e Effect) {
+	switch e := e.(type) {
+	case Send:
+		if _, err := wire.AppendFrame(nil, e.Message); err != nil {
+			t.Fatalf("cannot be sent: %v", err)
+		}
+	case MemberChanged:
+		if e.Host == "self" {
+			t.Fatalf("reports this host as a member: %+v", e)
+		}
+	}
+}
+
+// TestRecordedEventsReplayTheSame feeds one record of calls to two cores.
+func TestRecordedEventsReplayTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		messages := rapid.SliceOfN(rapid.Custom(message), 1, 30).Draw(t, "messages")
+		if a, b := replay(t, messages), replay(t, messages); !reflect.DeepEqual(a, b) {
+			t.Fatalf("effects differ:\n%v\n%v", a, b)
+		}
+	})
+}
+
+func replay(t *rapid.T, messages []wire.Message) []Effect {
+	c := newCore(t)
+	var effects []Effect
+	c.Step(0, LoadsChanged{Loads: []wire.UpstreamLoad{{Upstream: "a", Requests: 1}, {Upstream: "b", Requests: 2}}})
+	for i, m := range messages {
+		now := time.Duration(i) * 700 * time.Millisecond
+		effects = append(effects, c.Step(now, Received{From: "127.0.0.2:1", Message: m})...)
+		effects = append(effects, c.Tick(now)...)
+	}
+	return effects
+}
+
+func TestBadConfigurationIsRefusedWithEveryFinding(t *testing.T) {
+	findings := Config{}.Validate()
+	if len(findings) < 15 {
+		t.Errorf("got %d findings, want one for every field that may not be zero: %v", len(findings), findings)
+	}
+	if _, err := New(Config{}); err == nil {
+		t.Error("a zero configuration is accepted")
+	}
+	if err := testConfig().Validate().Err(); err != nil {
+		t.Errorf("the default is refused: %v", err)
+	}
+}
+
+// fullCore knows dataCentres of 30 hosts each.
+func fullCore(b *testing.B, dataCentres int) (*Core, []wire.Member) {
+	c := newCore(b)
+	var members []wire.Member
+	for i := range 30 * dataCentres {
+		m := wire.Member{
+			Host: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+			Address: fmt.Sprintf("127.0.%d.%d:7000", i/250, i%250+1), Incarnation: 7,
+		}
+		members = append(members, m)
+		c.merge(m)
+	}
+	loads := make([]wire.UpstreamLoad, 331)
+	for i := range loads {
+		loads[i] = wire.UpstreamLoad{Upstream: fmt.Sprintf("engine-%03d", i), Requests: 1, PrefillTokens: i}
+	}
+	c.Step(0, LoadsChanged{Loads: loads})
+	return c, members
+}
+
+// BenchmarkHeartbeat is the cost of one heartbeat received.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, dataCentres := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("hosts=%d", 30*dataCentres), func(b *testing.B) {
+			c, members := fullCore(b, dataCentres)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m := members[i%len(members)]
+				c.Step(time.Duration(i)*time.Millisecond, Received{From: m.Address, Message: wire.Heartbeat{Host: m.Host, Incarnation: 7, TableHash: c.tableHash()}})
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the cost of one tick, 100 ms apart, with what it sends.
+func BenchmarkTick(b *testing.B) {
+	for _, dataCentres := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("hosts=%d", 30*dataCentres), func(b *testing.B) {
+			c, members := fullCore(b, dataCentres)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := time.Duration(i) * 100 * time.Millisecond
+				for _, m := range members {
+					c.members[m.Host].heardAt = now
+				}
+				c.Tick(now)
+			}
+		})
+	}
+}
