--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -12,6 +12,10 @@
 		c.receiveHeartbeat(r.From, m)
 	case wire.SyncRequest:
 		c.answerSync(r.From, m)
+	case wire.SyncOffer:
+		c.receiveOffer(r.From, m)
+	case wire.SyncWant:
+		c.answerWant(r.From, m)
 	case wire.SyncReply:
 		c.receiveSection(m)
 	}
@@ -21,7 +25,11 @@
 // that is little; otherwise the others had better compare tables as well.
 func (c *Core) receiveSection(r wire.SyncReply) {
 	c.bulk = true
+	remote := c.isRemote(r.Host)
 	for _, u := range r.Members {
+		if remote {
+			u = c.doubt(u)
+		}
 		c.merge(u)
 	}
 	found := c.found
@@ -52,12 +60,28 @@
 	for _, contact := range h.Contacts {
 		c.contacted(contact.DataCentre, c.now-time.Duration(contact.AgeMillis)*time.Millisecond)
 	}
+	m.tableHash = h.TableHash
 	m.suspected, m.leaving = h.Suspected, h.Leaving
 	c.emitDigest(m, h)
 	c.answer(m, h)
 	c.compareTables(m, h.TableHash)
 }
 
+// doubt suspects a member of this data centre of which only another one
+// knows. If it lives it hears of that and denies.
+func (c *Core) doubt(u wire.Member) wire.Member {
+	if u.DataCentre != c.self.DataCentre || u.Host == c.self.Host || c.members[u.Host] != nil {
+		return u
+	}
+	if u.State == wire.Alive {
+		u.State = wire.Suspect
+	}
+	if u.State != wire.Dead {
+		c.probe(u.Address, u.DataCentre)
+	}
+	return u
+}
+
 // sender finds the member that sent the heartbeat and takes its own account.
 func (c *Core) sender(h wire.Heartbeat) *member {
 	if h.Host == c.self.Host {
@@ -74,14 +98,14 @@
 
 // askStranger asks a sender that has not said where it is for its table.
 func (c *Core) askStranger(from string, h wire.Heartbeat) {
-	if h.Host != c.self.Host && h.State != wire.Dead && c.hasCredit() {
-		c.send(from, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionHashes()})
+	if h.Host != c.self.Host && h.State != wire.Dead && c.tableTraffic.affords(0) {
+		c.send(from, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionList()})
 	}
 }
 
 // tellOutdated tells a process that a later one of the same name is known.
 func (c *Core) tellOutdated(from string, m *member) {
-	if !c.hasCredit() {
+	if !c.traffic.affords(0) {
 		return
 	}
 	h := c.digest(false, m.DataCentre)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -9,36 +9,38 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// syncMembers bounds the entries of one reply, so that it fits a frame whatever
-// the length of the names.
-const syncMembers = 100
+const (
+	// syncMembers bounds the entries of one reply, so that it fits a frame
+	// whatever the length of the names.
+	syncMembers = 100
+	// syncSections bounds the sections offered for one request.
+	syncSections = 8
+	// lighterOneIn is how rarely a section is offered that seems to know less.
+	lighterOneIn = 4
+)
 
 // tableHash covers the members that are not dead, this host among them.
 // Suspicion and refutation are left out, since they pass.
 func (c *Core) tableHash() uint32 {
-	hash := c.section(c.self.DataCentre)
+	hash := c.section(c.self.DataCentre).Hash
 	for _, name := range c.siteList {
-		hash ^= c.section(name)
+		hash ^= c.section(name).Hash
 	}
 	return hash
 }
 
-// section returns the hash of one data centre's members.
-func (c *Core) section(site string) uint32 {
-	if hash, ok := c.sections[site]; ok {
-		return hash
-	}
-	var hash uint32
-	if site == c.self.DataCentre {
-		hash = memberHash(c.self)
-	}
-	for _, name := range c.names {
-		if m := c.members[name]; m.DataCentre == site {
-			hash ^= memberHash(m.Member)
-		}
-	}
-	c.sections[site] = hash
-	return hash
+// section sums up one data centre's members.
+func (c *Core) section(site string) wire.Section {
+	if s, ok := c.sections[site]; ok {
+		return s
+	}
+	s := wire.Section{DataCentre: site}
+	for _, m := range c.entries(site) {
+		s.Hash ^= memberHash(m)
+		s.Weight += memberWeight(m)
+	}
+	c.sections[site] = s
+	return s
 }
 
 func memberHash(m wire.Member) uint32 {
@@ -53,10 +55,18 @@
 	return uint32(xxhash.Sum64(key))
 }
 
-func (c *Core) sectionHashes() []wire.Section {
-	list := []wire.Section{{DataCentre: c.self.DataCentre, Hash: c.section(c.self.DataCentre)}}
+// memberWeight grows whenever a later account overrides an earlier one, so
+// that of two sections the one that knows more is the heavier.
+func memberWeight(m wire.Member) uint64 {
+	const stateBits, refutationBits = 2, 6
+	refutation := min(uint64(m.Refutation), 1<<refutationBits-1)
+	return m.Incarnation<<(refutationBits+stateBits) + refutation<<stateBits + uint64(m.State)
+}
+
+func (c *Core) sectionList() []wire.Section {
+	list := []wire.Section{c.section(c.self.DataCentre)}
 	for _, name := range c.siteList {
-		list = append(list, wire.Section{DataCentre: name, Hash: c.section(name)})
+		list = append(list, c.section(name))
 	}
 	return list
 }
@@ -73,7 +83,7 @@
 	if dataCentre == c.self.DataCentre {
 		return c.tableHash()
 	}
-	return c.section(c.self.DataCentre)
+	return c.section(c.self.DataCentre).Hash
 }
 
 // compareTables asks a member for what differs.
@@ -81,13 +91,13 @@
 	s := c.site(m.DataCentre)
 	if s == nil {
 		if c.wants(&c.tables, hash == c.tableHash()) {
-			c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionHashes()})
+			c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: c.sectionList()})
 		}
 		return
 	}
 	ours := c.section(s.name)
-	if c.wants(&s.tables, hash == ours) {
-		c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{{DataCentre: s.name, Hash: ours}}})
+	if c.wants(&s.tables, hash == ours.Hash) {
+		c.send(m.Address, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{ours}})
 	}
 }
 
@@ -109,32 +119,117 @@
 	return true
 }
 
-// answerSync sends every section that differs or that the asker lacks, and to
-// another data centre only the section that it asks for.
+// answerSync offers a few sections of which this host knows more than the
+// asker. Weights cannot tell which of two sections knows more when each knows
+// something that the other lacks, so now and then a lighter one goes as well.
 func (c *Core) answerSync(from string, r wire.SyncRequest) {
-	if c.cfg.BytesPerSecond > 0 && c.credit < -float64(c.cfg.BurstBytes) {
+	if !c.tableTraffic.affords(0) {
 		return
 	}
-	theirs := make(map[string]uint32, len(r.Sections))
+	theirs := make(map[string]wire.Section, len(r.Sections))
 	for _, s := range r.Sections {
-		theirs[s.DataCentre] = s.Hash
+		theirs[s.DataCentre] = s
 	}
-	asker := c.members[r.Host]
-	remote := asker != nil && asker.DataCentre != c.self.DataCentre
-	for _, ours := range c.sectionHashes() {
-		hash, known := theirs[ours.DataCentre]
-		if (known && hash == ours.Hash) || (remote && !known) {
+	remote := c.isRemote(r.Host)
+	var differ []string
+	for _, ours := range c.sectionList() {
+		other, known := theirs[ours.DataCentre]
+		if ours.Hash == other.Hash || (remote && !known) {
 			continue
 		}
-		c.sendSection(from, ours.DataCentre)
+		if remote || ours.Weight > other.Weight || c.rng.IntN(lighterOneIn) == 0 {
+			differ = append(differ, ours.DataCentre)
+		}
+	}
+	for n := 0; n < syncSections && len(differ) > 0; n++ {
+		i := c.rng.IntN(len(differ))
+		c.offer(from, differ[i])
+		differ = append(differ[:i], differ[i+1:]...)
+	}
+	if other, known := theirs[c.self.DataCentre]; remote && known {
+		c.askBack(from, r.Host, other)
+	}
+}
+
+// askBack asks another data centre what it believes of this one, as it may
+// know members that are gone with everybody who could tell of their end. A
+// host that has just started does not, since it may merely know less.
+func (c *Core) askBack(to, host string, theirs wire.Section) {
+	if c.now < c.cfg.UnreachableAfter {
+		return
+	}
+	ours := c.section(c.self.DataCentre)
+	s := c.site(c.members[host].DataCentre)
+	if c.wants(&s.back, theirs.Hash == ours.Hash) {
+		c.send(to, wire.SyncRequest{Host: c.self.Host, Sections: []wire.Section{ours}})
+	}
+}
+
+func (c *Core) isRemote(host string) bool {
+	m := c.members[host]
+	return m != nil && m.DataCentre != c.self.DataCentre
+}
+
+// offer tells the hashes of a section's entries.
+func (c *Core) offer(to, site string) {
+	var hashes []uint32
+	for _, m := range c.entries(site) {
+		hashes = append(hashes, entryHash(m))
+	}
+	for len(hashes) > 0 {
+		n := min(len(hashes), wire.MaxMembers)
+		c.send(to, wire.SyncOffer{Host: c.self.Host, DataCentre: site, Entries: hashes[:n:n]})
+		hashes = hashes[n:]
+	}
+}
+
+// entryHash covers all of an account but suspicion.
+func entryHash(m wire.Member) uint32 {
+	if m.State == wire.Suspect {
+		m.State = wire.Alive
+	}
+	key := append([]byte(m.Host), 0)
+	key = append(append(key, m.Address...), byte(m.State))
+	key = binary.BigEndian.AppendUint64(key, m.Incarnation)
+	key = binary.BigEndian.AppendUint32(key, m.Refutation)
+	return uint32(xxhash.Sum64(key))
+}
+
+// receiveOffer asks for the offered entries that differ from this host's.
+func (c *Core) receiveOffer(from string, o wire.SyncOffer) {
+	known := make(map[uint32]bool)
+	for _, m := range c.entries(o.DataCentre) {
+		known[entryHash(m)] = true
+	}
+	var lacking []uint32
+	for _, hash := range o.Entries {
+		if !known[hash] {
+			lacking = append(lacking, hash)
+		}
+	}
+	if len(lacking) > 0 {
+		c.send(from, wire.SyncWant{Host: c.self.Host, DataCentre: o.DataCentre, Entries: lacking})
 	}
 }
 
-func (c *Core) sendSection(to, site string) {
-	list := c.entries(site)
+// answerWant sends the entries wanted.
+func (c *Core) answerWant(from string, w wire.SyncWant) {
+	if !c.tableTraffic.affords(-c.tableTraffic.burst) {
+		return
+	}
+	wanted := make(map[uint32]bool, len(w.Entries))
+	for _, hash := range w.Entries {
+		wanted[hash] = true
+	}
+	var list []wire.Member
+	for _, m := range c.entries(w.DataCentre) {
+		if wanted[entryHash(m)] {
+			list = append(list, m)
+		}
+	}
 	for len(list) > 0 {
 		n := min(len(list), syncMembers)
-		c.send(to, wire.SyncReply{Host: c.self.Host, Members: list[:n:n]})
+		c.send(from, wire.SyncReply{Host: c.self.Host, Members: list[:n:n]})
 		list = list[n:]
 	}
 }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -86,6 +86,7 @@
 			Upstream:      l.Upstream,
 			Requests:      l.Requests,
 			PrefillTokens: l.PrefillTokens,
+			LongTokens:    l.LongTokens,
 			MemoryTokens:  l.MemoryTokens,
 		}
 	}
