Give operators chestnutctl: check, diff, submit, status, dump, account

Operators had no way to submit a configuration or to see where it is in force. The tool reports all findings together with their places, distinguishes a conflict and a version that is accepted but not in force by exit codes, and ends each error with what to do next. A host that does not answer counts as behind, because it may still serve by an older version. A lone dash for the standard input was ruled out: the flag library panics on it.

--- /dev/null
+++ b/cmd/chestnutctl/commands.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/intent"
+	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/configuration/registry"
+	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/operate"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+const (
+	fileArgument = "FILE"
+	fileHelp     = "name the configuration's file, or /dev/stdin for the standard input"
+)
+
+// commands lists the subcommands in the order of the help.
+func commands() []*command {
+	diff, submit, status := &diffSettings{}, &submitSettings{}, &statusSettings{}
+	dump, account := &hostSettings{}, &hostSettings{}
+	return []*command{
+		{
+			name: "check", help: "Checks a configuration and lists every finding with its place.",
+			argument: fileArgument, argumentHelp: fileHelp, target: &noSettings{}, run: runCheck,
+		},
+		{
+			name: "diff", help: "Shows how a configuration differs from the accepted one.",
+			argument: fileArgument, argumentHelp: fileHelp, target: diff,
+			run: func(ctx context.Context, t *terminal, file string) error { return runDiff(ctx, t, diff, file) },
+		},
+		{
+			name: "submit", help: "Submits a configuration on a base version and waits until it is in force in every data centre.",
+			argument: fileArgument, argumentHelp: fileHelp, target: submit,
+			run: func(ctx context.Context, t *terminal, file string) error { return runSubmit(ctx, t, submit, file) },
+		},
+		{
+			name: "status", help: "Shows the accepted version and what every host has in force.", target: status,
+			run: func(ctx context.Context, t *terminal, _ string) error { return runStatus(ctx, t, status) },
+		},
+		{
+			name: "dump", help: "Prints the state of every host as JSON.", target: dump,
+			run: func(ctx context.Context, t *terminal, _ string) error { return runDump(ctx, t, dump) },
+		},
+		{
+			name: "account", help: "Shows the decisions that the hosts took for a request.",
+			argument: "REQUEST-ID", argumentHelp: "name the request by its X-Request-Id", target: account,
+			run: func(ctx context.Context, t *terminal, id string) error { return runAccount(ctx, t, account, id) },
+		},
+	}
+}
+
+// load reads and checks a configuration; the error lists every finding.
+func load(file string) (intent.Configuration, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return intent.Configuration{}, finding.List{{Place: fileArgument, Problem: err.Error()}}.Err()
+	}
+	defer f.Close()
+	c, err := intent.Parse(f)
+	if err != nil {
+		return intent.Configuration{}, err
+	}
+	return c, finding.List(c.Check()).Err()
+}
+
+func runCheck(_ context.Context, t *terminal, file string) error {
+	c, err := load(file)
+	if err != nil {
+		return err
+	}
+	parts, err := configuration.Split(c)
+	if err != nil {
+		return err
+	}
+	bytes := 0
+	for _, p := range parts {
+		bytes += len(p.Bytes)
+	}
+	type result struct {
+		Accepted bool `json:"accepted"`
+		Parts    int  `json:"parts"`
+		Bytes    int  `json:"stored_bytes"`
+	}
+	return t.show(result{true, len(parts), bytes},
+		fmt.Sprintf("no findings; it would be stored in %d parts of %d bytes in all", len(parts), bytes))
+}
+
+// accepted reads the accepted configuration; with none, version 0 and nothing.
+func accepted(ctx context.Context, url string) (registry.Accepted, error) {
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: url})
+	if err != nil {
+		return registry.Accepted{}, err
+	}
+	defer client.Close()
+	a, err := registry.Read(ctx, client)
+	if errors.Is(err, registry.ErrNone) {
+		return registry.Accepted{}, nil
+	}
+	return a, err
+}
+
+func runDiff(ctx context.Context, t *terminal, s *diffSettings, file string) error {
+	c, err := load(file)
+	if err != nil {
+		return err
+	}
+	a, err := accepted(ctx, s.Platform)
+	if err != nil {
+		return err
+	}
+	differences, err := operate.Compare(a.Configuration, c)
+	if err != nil {
+		return err
+	}
+	type result struct {
+		Base        uint64               `json:"base"`
+		Differences []operate.Difference `json:"differences"`
+	}
+	base := a.Manifest.Change.Version
+	lines := []string{fmt.Sprintf("%d differences from version %d; submit with --base %d", len(differences), base, base)}
+	for _, d := range differences {
+		lines = append(lines, d.String())
+	}
+	return t.show(result{base, differences}, lines...)
+}
+
+// statusResult is the JSON form of status.
+type statusResult struct {
+	Accepted configuration.Change `json:"accepted"`
+	operate.Force
+	Hosts []operate.HostStatus `json:"hosts"`
+}
+
+func runStatus(ctx context.Context, t *terminal, s *statusSettings) error {
+	a, err := accepted(ctx, s.Platform)
+	if err != nil {
+		return err
+	}
+	change := a.Manifest.Change
+	if change.Version == 0 {
+		return registry.ErrNone
+	}
+	r := statusResult{Accepted: change, Hosts: operate.Admin{Addresses: s.Admin}.Status(ctx)}
+	lines := []string{fmt.Sprintf("version %d by %s (%s), nonce %s, is accepted", change.Version, change.Author, change.Note, change.Nonce)}
+	if len(s.Admin) == 0 {
+		r.Force = operate.Force{Version: change.Version}
+		return t.show(r, append(lines, "no host was asked; name their addresses in --admin")...)
+	}
+	r.Force = operate.Judge(change.Version, dataCentres(a.Configuration), r.Hosts)
+	for _, h := range r.Hosts {
+		lines = append(lines, hostLine(h))
+	}
+	if err := t.show(r, append(lines, r.Force.String())...); err != nil {
+		return err
+	}
+	if !r.Everywhere {
+		return shownError{notInForceError{r.Force}}
+	}
+	return nil
+}
+
+func hostLine(h operate.HostStatus) string {
+	if h.Error != "" {
+		return fmt.Sprintf("%s: %s", h.Address, h.Error)
+	}
+	return fmt.Sprintf("%s: %s in %s has version %d, ready %t, draining %t", h.Address, h.Host, h.DataCentre, h.ConfigVersion, h.Ready, h.Draining)
+}
+
+func dataCentres(c intent.Configuration) []string {
+	names := make([]string, len(c.DataCentres))
+	for i, d := range c.DataCentres {
+		names[i] = d.Name
+	}
+	return names
+}
+
+func runDump(ctx context.Context, t *terminal, s *hostSettings) error {
+	all := operate.Admin{Addresses: s.Admin}.Dump(ctx)
+	asJSON := &terminal{streams: t.streams, json: true}
+	if err := asJSON.show(all); err != nil {
+		return err
+	}
+	var failed []string
+	for _, d := range all {
+		if d.Error != "" {
+			failed = append(failed, d.Address)
+		}
+	}
+	if len(failed) > 0 {
+		return shownError{errors.Wrapf(errHostsNotAsked, "%v", failed)}
+	}
+	return nil
+}
+
+func runAccount(ctx context.Context, t *terminal, s *hostSettings, id string) error {
+	decisions, failed := operate.Admin{Addresses: s.Admin}.Account(ctx, id)
+	type result struct {
+		Request   string               `json:"request"`
+		Decisions []operate.Decision   `json:"decisions"`
+		Failed    []operate.HostStatus `json:"hosts_not_asked,omitempty"`
+	}
+	var lines []string
+	for _, d := range decisions {
+		at := time.UnixMilli(d.AtMillis).UTC().Format("15:04:05.000")
+		lines = append(lines, fmt.Sprintf("%s %s: %s %s", at, d.Host, d.Decision, d.Detail))
+	}
+	if len(decisions) == 0 {
+		lines = append(lines, "no host that answered remembers the request; it is older than their memory, or the id is wrong")
+	}
+	if err := t.show(result{id, decisions, failed}, lines...); err != nil {
+		return err
+	}
+	for _, f := range failed {
+		t.progress(f.Error)
+	}
+	switch {
+	case len(failed) > 0:
+		return shownError{errHostsNotAsked}
+	case len(decisions) == 0:
+		return shownError{errors.Wrapf(operate.ErrNotKnown, "request %s", id)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/chestnutctl/main_test.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/chestnutline/chestnutline/intent"
+	stand "github.com/chestnutline/chestnutline/internal/standin/platform"
+)
+
+// bench is an object API and hosts that the tool is run against.
+type bench struct {
+	t        *testing.T
+	platform *stand.Server
+	url      string
+	hosts    []*fakeHost
+}
+
+// fakeHost answers on an admin address.
+type fakeHost struct {
+	dataCentre string
+	version    atomic.Uint64
+	address    string
+}
+
+func (h *fakeHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := "host-" + h.dataCentre
+	switch r.URL.Path {
+	case "/status":
+		fmt.Fprintf(w, `{"host":%q,"data_centre":%q,"config_version":%d,"ready":true,"draining":false}`, name, h.dataCentre, h.version.Load())
+	case "/dump":
+		fmt.Fprintf(w, `{"host":%q}`, name)
+	case "/account/r-1":
+		fmt.Fprintf(w, `[{"at_ms":%d,"decision":"admitted at %s","detail":"d"}]`, 1000-len(h.dataCentre), h.dataCentre)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func newBench(t *testing.T, dataCentres ...string) *bench {
+	t.Helper()
+	b := &bench{t: t, platform: stand.New(stand.Config{})}
+	server := httptest.NewServer(b.platform.Handler())
+	t.Cleanup(server.Close)
+	b.url = server.URL
+	for _, name := range dataCentres {
+		h := &fakeHost{dataCentre: name}
+		admin := httptest.NewServer(h)
+		t.Cleanup(admin.Close)
+		h.address = strings.TrimPrefix(admin.URL, "http://")
+		b.hosts = append(b.hosts, h)
+	}
+	return b
+}
+
+func (b *bench) addresses() string {
+	var all []string
+	for _, h := range b.hosts {
+		all = append(all, h.address)
+	}
+	return strings.Join(all, ",")
+}
+
+// run runs the tool and returns its exit code and outputs.
+func run(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = start(context.Background(), args, nil, streams{&o, &e})
+	return code, o.String(), e.String()
+}
+
+func (b *bench) submit(file string, base int, more ...string) (code int, out, errOut string) {
+	args := []string{"submit", file, "--platform", b.url, "--base", fmt.Sprint(base), "--author", "ana", "--note", "test"}
+	return run(append(args, more...)...)
+}
+
+func write(t *testing.T, share float64, dataCentres ...string) string {
+	t.Helper()
+	c := intent.New()
+	c.AddDataCentres("lima", dataCentres...)
+	c.AddModel(intent.NewModel("moderator", "v1", 1000).PlacedIn(dataCentres[0], 0))
+	c.AddKinds(intent.ModelKind("comment"))
+	c.AddOrganisations(intent.NewOrganisation("org-01", share))
+	var body bytes.Buffer
+	if err := c.Print(&body); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "configuration.json")
+	if err := os.WriteFile(file, body.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func expect(t *testing.T, code, want int, text string, parts ...string) {
+	t.Helper()
+	if code != want {
+		t.Errorf("exit code %d, want %d: %s", code, want, text)
+	}
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("lacks %q: %s", part, text)
+		}
+	}
+}
+
+func TestUsageFindingsAreTogether(t *testing.T) {
+	code, _, text := run("submit", "--base", "x", "--wait", "soon")
+	expect(t, code, exitUsage, text, "--base", "--wait", "FILE", "next:")
+	code, _, text = run("submit", "file")
+	expect(t, code, exitUsage, text, "--platform", "--admin", "--author")
+	code, _, text = run()
+	expect(t, code, exitUsage, text, "--help")
+	code, _, text = run("check", "-")
+	expect(t, code, exitUsage, text, "--help")
+	code, _, text = run("dump", "--admin", "nowhere")
+	expect(t, code, exitUsage, text, "ip:port")
+}
+
+func TestCheckListsFindings(t *testing.T) {
+	good := write(t, 1, "lima-a")
+	code, out, text := run("check", good)
+	expect(t, code, exitDone, out+text, "no findings")
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"kinds":[{"weight":-1}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out, _ = run("check", bad, "--json")
+	var f failure
+	if err := json.Unmarshal([]byte(out), &f); err != nil || len(f.Findings) < 4 || f.ExitCode != exitUsage || code != exitUsage {
+		t.Errorf("exit code %d, %v: %s", code, err, out)
+	}
+	code, _, text = run("check", bad+".missing")
+	expect(t, code, exitUsage, text, "FILE", "no such file")
+}
+
+func TestSubmitWaitsForEveryDataCentre(t *testing.T) {
+	b := newBench(t, "lima-a", "lima-b")
+	file := write(t, 1, "lima-a", "lima-b")
+	b.hosts[0].version.Store(1)
+	code, out, text := b.submit(file, 0, "--admin", b.addresses(), "--wait", "400ms", "--json")
+	expect(t, code, exitNotInForce, out+text, "version 1 is accepted", "host-lima-b has version 0", `"in_force_everywhere": false`)
+	var r submitResult
+	if err := json.Unmarshal([]byte(out), &r); err != nil || r.Accepted.Version != 1 {
+		t.Errorf("not one JSON document: %v: %s", err, out)
+	}
+	for _, h := range b.hosts {
+		h.version.Store(2)
+	}
+	code, out, text = b.submit(write(t, 2, "lima-a", "lima-b"), 1, "--admin", b.addresses())
+	expect(t, code, exitDone, out+text, "version 2 is in force in every data centre")
+	code, out, text = b.submit(write(t, 3, "lima-a", "lima-b", "lima-c"), 2, "--admin", b.addresses(), "--wait", "300ms")
+	expect(t, code, exitNotInForce, out+text, "lima-c", "no host of it was asked")
+}
+
+func TestConflictAndDiff(t *testing.T) {
+	b := newBench(t)
+	code, _, text := b.submit(write(t, 1, "lima-a"), 0, "--wait", "0s")
+	expect(t, code, exitDone, text)
+	other := write(t, 5, "lima-a")
+	code, _, text = b.submit(other, 0, "--wait", "0s")
+	expect(t, code, exitConflict, text, "version 1 by ana", "--base 1")
+	code, out, text := run("diff", other, "--platform", b.url)
+	expect(t, code, exitDone, out+text, "~ organisations[org-01].share: 1 -> 5", "--base 1")
+	code, out, _ = run("diff", other, "--platform", b.url, "--json")
+	var r struct{ Base, Differences any }
+	if err := json.Unmarshal([]byte(out), &r); err != nil || code != exitDone {
+		t.Errorf("exit code %d: %v: %s", code, err, out)
+	}
+}
+
+func TestPlatformDown(t *testing.T) {
+	b := newBench(t)
+	code, _, text := run("status", "--platform", b.url)
+	expect(t, code, exitFailed, text, "--base 0")
+	code, _, text = run("status", "--platform", "http://127.0.0.1:1")
+	expect(t, code, exitFailed, text, "next:", "--platform")
+}
+
+func TestStatusDumpAndAccount(t *testing.T) {
+	b := newBench(t, "lima-a", "lima-bb")
+	code, _, text := b.submit(write(t, 1, "lima-a", "lima-bb"), 0, "--wait", "0s")
+	expect(t, code, exitDone, text)
+	b.hosts[0].version.Store(1)
+	code, out, text := run("status", "--platform", b.url, "--admin", b.addresses())
+	expect(t, code, exitNotInForce, out+text, "by ana", "lima-a 1/1", "host-lima-bb has version 0")
+	b.hosts[1].version.Store(1)
+	code, out, _ = run("status", "--platform", b.url, "--admin", b.addresses(), "--json")
+	expect(t, code, exitDone, out, `"in_force_everywhere": true`, `"nonce"`)
+	code, out, _ = run("dump", "--admin", b.addresses())
+	expect(t, code, exitDone, out, `"host": "host-lima-a"`)
+	code, out, text = run("dump", "--admin", b.addresses()+",127.0.0.1:1")
+	expect(t, code, exitFailed, out+text, `"host": "host-lima-a"`, "127.0.0.1:1")
+	code, out, _ = run("account", "r-1", "--admin", b.addresses())
+	expect(t, code, exitDone, out)
+	if strings.Index(out, "lima-bb") > strings.Index(out, "at lima-a") {
+		t.Errorf("decisions are not ordered by time: %s", out)
+	}
+	code, out, _ = run("account", "r-2", "--admin", b.addresses(), "--json")
+	expect(t, code, exitFailed, out, `"decisions"`)
+}
