--- a/internal/configuration/config.go
+++ b/internal/configuration/config.go
@@ -65,7 +65,7 @@
 		Seed:          seed,
 		Watchers:      2,
 		WatchWait:     10 * time.Second,
-		WatchGrace:    2 * time.Second,
+		WatchGrace:    1500 * time.Millisecond,
 		FetchTimeout:  3 * time.Second,
 		PeerTimeout:   time.Second,
 		RetryMin:      250 * time.Millisecond,
--- a/internal/configuration/tracker_test.go
+++ b/internal/configuration/tracker_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"bytes"
 	"fmt"
 	"reflect"
 	"testing"
@@ -227,6 +228,9 @@
 				}
 				last = a.Version
 				applies++
+				if a.Digest != holdings[a.Version-1].Digest {
+					rt.Fatalf("version %d has a different manifest", a.Version)
+				}
 				if !reflect.DeepEqual(a.Configuration, versions[a.Version-1].whole) {
 					rt.Fatalf("version %d has a different content", a.Version)
 				}
@@ -266,16 +270,34 @@
 		return s.answer(effect)
 	case FetchFromPeer:
 		a := h.Answer(effect.Request)
-		if rapid.IntRange(0, 4).Draw(rt, "damage") == 0 && len(a.Chunks) > 0 && len(a.Chunks[0].Bytes) > 0 {
-			damaged := append([]byte(nil), a.Chunks[0].Bytes...)
-			damaged[0] ^= 1
-			a.Chunks[0].Bytes = damaged
+		if rapid.IntRange(0, 4).Draw(rt, "damage") == 0 {
+			damage(rt, a.Chunks)
 		}
 		return PeerAnswer{Host: effect.Host, Answer: a}
 	}
 	return nil
 }
 
+// damage changes what the chunks hold, by a bit or into other valid content.
+func damage(rt *rapid.T, chunks []Chunk) {
+	for i, c := range chunks {
+		switch {
+		case len(c.Bytes) == 0:
+		case rapid.Bool().Draw(rt, "bit"):
+			chunks[i].Bytes = append([]byte(nil), c.Bytes...)
+			chunks[i].Bytes[0] ^= 1
+		case c.Part == ManifestPart:
+			chunks[i].Bytes = bytes.ReplaceAll(c.Bytes, []byte("ana"), []byte("eve"))
+		default:
+			other, err := encodePart(section{DataCentres: []intent.DataCentre{{Name: "elsewhere"}}})
+			if err != nil {
+				rt.Fatal(err)
+			}
+			chunks[i].Bytes, chunks[i].Total = other, len(other)
+		}
+	}
+}
+
 func TestRejectsWhatItCannotRead(t *testing.T) {
 	s, m := accepted(t, Manifest{}, 2)
 	tracker := started(t, "a", s)
@@ -328,3 +350,24 @@
 		}
 	})
 }
+
+// TestPeerThatLacksWhatItClaimsIsAvoided answers every request with an older
+// manifest under a version that does not exist.
+func TestPeerThatLacksWhatItClaimsIsAvoided(t *testing.T) {
+	s, _ := accepted(t, Manifest{}, 2)
+	tracker, liar := started(t, "a", s), started(t, "b", s)
+	tracker.Step(startTime, MembersChanged{Members: []Member{{"a", "dc-0"}, {"b", "dc-0"}}})
+	effects := tracker.Step(startTime, PeerVersion{Host: "b", Version: 9})
+	for requests := 0; ; requests++ {
+		f, ok := find[FetchFromPeer](effects)
+		if !ok {
+			break
+		}
+		if requests > 1 {
+			t.Fatal("the peer is asked again and again")
+		}
+		answer := liar.Holding().Answer(f.Request)
+		answer.Version = 9
+		effects = tracker.Step(startTime, PeerAnswer{Host: "b", Answer: answer})
+	}
+}
