Notice silent watches in time at every size

A watch waited 10 s at every size, so that in a fleet whose watches all went silent a change could take 11.5 s, above the 5 s wanted today. The wait now follows the number of watching hosts, 3 s to 10 s, which keeps the idle calls near 2.5 a second; after a silent watch the manifest is read as well.

--- a/internal/configuration/config.go
+++ b/internal/configuration/config.go
@@ -19,10 +19,15 @@
 	// Watchers is how many hosts of each data centre watch the object API.
 	// More find a change sooner when one watch is silent, and cost more calls.
 	Watchers int
-	// WatchWait is how long one watch waits. Longer saves calls; a silent
-	// watch is noticed later.
-	WatchWait time.Duration
-	// WatchGrace is how much longer than WatchWait an answer may take before
+	// WatchMin and WatchMax bound how long one watch waits. Longer saves calls;
+	// a silent watch is noticed later.
+	WatchMin time.Duration
+	WatchMax time.Duration
+	// WatchSpacing is the time between two watches of the whole fleet: the
+	// wait is WatchSpacing for each watching host, within its bounds. Shorter
+	// makes more calls in a fleet of any size.
+	WatchSpacing time.Duration
+	// WatchGrace is how much longer than its wait an answer may take before
 	// the watch counts as silent.
 	WatchGrace time.Duration
 	// FetchTimeout bounds a read from the object API.
@@ -64,7 +69,9 @@
 		DataCentre:    dataCentre,
 		Seed:          seed,
 		Watchers:      2,
-		WatchWait:     10 * time.Second,
+		WatchMin:      3 * time.Second,
+		WatchMax:      10 * time.Second,
+		WatchSpacing:  400 * time.Millisecond,
 		WatchGrace:    1500 * time.Millisecond,
 		FetchTimeout:  3 * time.Second,
 		PeerTimeout:   time.Second,
@@ -94,6 +101,9 @@
 	if c.StoreParts < 0 {
 		l.Add("StoreParts", "must not be negative")
 	}
+	if c.WatchMax < c.WatchMin {
+		l.Add("WatchMax", "must not be below WatchMin")
+	}
 	if c.RetryMax < c.RetryMin {
 		l.Add("RetryMax", "must not be below RetryMin")
 	}
@@ -101,7 +111,8 @@
 		place string
 		value time.Duration
 	}{
-		{"WatchWait", c.WatchWait},
+		{"WatchMin", c.WatchMin},
+		{"WatchSpacing", c.WatchSpacing},
 		{"WatchGrace", c.WatchGrace},
 		{"FetchTimeout", c.FetchTimeout},
 		{"PeerTimeout", c.PeerTimeout},
--- a/internal/configuration/experiment/experiment.go
+++ b/internal/configuration/experiment/experiment.go
@@ -45,6 +45,10 @@
 	// OutageFrom and OutageTo bound an outage of the object API; none if equal.
 	OutageFrom time.Duration
 	OutageTo   time.Duration
+	// SilentFrom and SilentTo bound a time in which every watch that starts is
+	// silent for good, while later ones work; none if equal.
+	SilentFrom time.Duration
+	SilentTo   time.Duration
 	// CutDataCentres is how many data centres cannot reach the object API
 	// after Settle.
 	CutDataCentres int
--- a/internal/configuration/experiment/experiment_test.go
+++ b/internal/configuration/experiment/experiment_test.go
@@ -66,14 +66,17 @@
 	}
 }
 
-// TestOutageAndCut takes the object API away from all hosts for half of the
-// run, or from one data centre for the whole of it, while hosts are replaced.
-func TestOutageAndCut(t *testing.T) {
+// TestOutageCutAndSilence takes the object API away from all hosts for half of the
+// run, or from one data centre for the whole of it, or makes all watches
+// silent, while hosts are replaced.
+func TestOutageCutAndSilence(t *testing.T) {
 	outage := Defaults(30, 4)
 	outage.OutageFrom, outage.OutageTo = 21*time.Second, 45*time.Second
 	cut := Defaults(30, 4)
 	cut.CutDataCentres = 1
-	for name, o := range map[string]Options{"outage": outage, "cut": cut} {
+	silent := Defaults(6, 4)
+	silent.SilentFrom, silent.SilentTo = 15*time.Second, 25*time.Second
+	for name, o := range map[string]Options{"outage": outage, "cut": cut, "silent": silent} {
 		if broken := violations(measure(t, o), inForceToday); len(broken) > 0 {
 			t.Errorf("%s: %v", name, broken)
 		}
--- /dev/null
+++ b/internal/configuration/experiment/measure_test.go
@@ -0,0 +1,39 @@
+package experiment
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/configuration"
+)
+
+// Flags of a long run, which CI does not make:
+//
+//	go test ./internal/configuration/experiment -run TestLongRun -v -args -hosts 470
+var (
+	hostsFlag   = flag.Int("hosts", 0, "hosts of a long run; 0 for none")
+	seedFlag    = flag.Uint64("seed", 1, "seed of a long run")
+	lengthFlag  = flag.Duration("length", time.Minute, "virtual time of a long run")
+	changesFlag = flag.Int("changes", 10, "accepted changes in a long run")
+	naiveFlag   = flag.Bool("naive", false, "let every host watch")
+)
+
+func TestLongRun(t *testing.T) {
+	if *hostsFlag == 0 {
+		return
+	}
+	o := Defaults(*hostsFlag, *seedFlag)
+	o.Length, o.Changes = *lengthFlag, *changesFlag
+	if *naiveFlag {
+		o.New = func(c configuration.Config) Follower {
+			c.Watchers = o.Hosts
+			return configuration.New(c)
+		}
+	}
+	r := measure(t, o)
+	t.Logf("%+v", r)
+	if broken := violations(r, inForceAim); len(broken) > 0 && !*naiveFlag {
+		t.Error(broken)
+	}
+}
--- a/internal/configuration/experiment/store.go
+++ b/internal/configuration/experiment/store.go
@@ -48,6 +48,12 @@
 	return s.w.now >= s.w.o.OutageFrom && s.w.now < s.w.o.OutageTo
 }
 
+// silent draws whether a watch that starts now never ends.
+func (s *store) silent() bool {
+	drawn := s.w.random.Float64() < s.w.o.SilentWatches
+	return drawn || (s.w.now >= s.w.o.SilentFrom && s.w.now < s.w.o.SilentTo)
+}
+
 // unreachable says whether a host's calls fail.
 func (s *store) unreachable(h *host) bool {
 	cut := s.w.now >= s.w.o.Settle && h.index%s.w.o.DataCentres < s.w.o.CutDataCentres
@@ -116,7 +122,7 @@
 
 func (s *store) watch(h *host, e configuration.StartWatch) {
 	s.w.record.called(s.w)
-	v := waiter{host: h, incarnation: h.incarnation, effect: e, silent: s.w.random.Float64() < s.w.o.SilentWatches}
+	v := waiter{host: h, incarnation: h.incarnation, effect: e, silent: s.silent()}
 	if s.unreachable(h) {
 		s.reply(h, h.incarnation, configuration.WatchResult{ID: e.ID, Outcome: configuration.Failed})
 		return
--- a/internal/configuration/members.go
+++ b/internal/configuration/members.go
@@ -31,6 +31,7 @@
 	before := t.members
 	t.members = list
 	t.watchers = t.watchersOf(self.DataCentre)
+	t.watchWait = t.waitFor(t.countWatchers())
 	t.forgetPeers()
 	if !t.isWatcher() {
 		return
@@ -117,6 +118,25 @@
 	return hosts
 }
 
+// countWatchers returns how many hosts of the whole fleet watch.
+func (t *Tracker) countWatchers() int {
+	perDataCentre := make(map[string]int)
+	count := 0
+	for _, m := range t.members {
+		if perDataCentre[m.DataCentre] < t.config.Watchers {
+			perDataCentre[m.DataCentre]++
+			count++
+		}
+	}
+	return count
+}
+
+// waitFor returns how long each watch waits when so many hosts watch.
+func (t *Tracker) waitFor(watchers int) time.Duration {
+	wait := time.Duration(watchers) * t.config.WatchSpacing
+	return min(max(wait, t.config.WatchMin), t.config.WatchMax)
+}
+
 func (t *Tracker) isWatcher() bool {
 	return slices.Contains(t.watchers, t.config.Host)
 }
--- a/internal/configuration/receive.go
+++ b/internal/configuration/receive.go
@@ -42,17 +42,19 @@
 	t.storeParts(e)
 }
 
-// storeManifest takes a read of the manifest. Reading it again would help
-// nothing soon, so the next read waits even after a success.
+// storeManifest takes a read of the manifest. When it was read for a version
+// that a peer claims and shows nothing new, the next read waits longer.
 func (t *Tracker) storeManifest(e FetchResult) {
+	expected := !t.reread
 	t.reread = false
-	t.store.failed(t)
 	if e.Manifest != nil {
 		t.offerManifest(e.Manifest, "")
 	}
-	if t.candidate != nil {
-		t.store.succeeded()
+	if expected && t.candidate == nil {
+		t.store.failed(t)
+		return
 	}
+	t.store.succeeded()
 }
 
 // storeParts takes parts from the object API. When one is gone, the version
--- a/internal/configuration/tracker.go
+++ b/internal/configuration/tracker.go
@@ -18,7 +18,9 @@
 	members []Member
 	// watchers are the hosts of this data centre that watch the object API.
 	watchers []string
-	peers    map[string]*peer
+	// watchWait is how long a watch waits in a fleet of this size.
+	watchWait time.Duration
+	peers     map[string]*peer
 	// highest is the highest version that a peer has in force.
 	highest uint64
 
@@ -34,7 +36,8 @@
 	partial   partial
 	fetch     fetch
 	behind    behind
-	// reread asks for the manifest again, because parts of it were gone.
+	// reread asks for the manifest again, because parts of it were gone or a
+	// watch was silent.
 	reread   bool
 	rejected rejection
 	disputed uint64
--- a/internal/configuration/tracker_test.go
+++ b/internal/configuration/tracker_test.go
@@ -87,14 +87,17 @@
 	tracker := New(DefaultConfig(host, "dc-0", 1))
 	effects := tracker.Step(0, Tick{})
 	effects = tracker.Step(0, s.answer(must[FetchFromStore](t, effects)))
+	var applied Apply
 	for range 100 {
+		if a, ok := find[Apply](effects); ok {
+			applied = a
+		}
 		if f, ok := find[FetchFromStore](effects); ok {
 			effects = tracker.Step(startTime, s.answer(f))
 		} else if !tracker.Ready() {
 			effects = tracker.Step(startTime, Tick{})
 		}
 	}
-	applied := must[Apply](t, effects)
 	if !reflect.DeepEqual(applied.Configuration, s.whole) {
 		t.Fatal("the configuration applied differs from the one accepted")
 	}
@@ -140,15 +143,16 @@
 func TestSilentWatchIsReplaced(t *testing.T) {
 	s, _ := accepted(t, Manifest{}, 2)
 	tracker := started(t, "a", s)
-	c := tracker.config
-	silent := startTime + c.WatchWait + c.WatchGrace
+	tracker.Step(startTime, WatchResult{ID: tracker.watch.id, Reached: 1})
+	length := tracker.watchWait + tracker.config.WatchGrace
+	silent := startTime + length
 	effects := tracker.Step(silent, Tick{})
 	must[CancelWatch](t, effects)
 	if r := must[Report](t, effects); r.Kind != WatchSilent {
 		t.Errorf("report %v", r)
 	}
 	old := must[StartWatch](t, effects)
-	effects = tracker.Step(silent+c.WatchWait+c.WatchGrace, Tick{})
+	effects = tracker.Step(silent+length, Tick{})
 	must[CancelWatch](t, effects)
 	if again, ok := find[StartWatch](effects); ok && again.ID == old.ID {
 		t.Error("the id of a watch was used again")
--- a/internal/configuration/watch.go
+++ b/internal/configuration/watch.go
@@ -12,7 +12,8 @@
 	retry backoff
 }
 
-// superviseWatch starts, replaces or cancels the watch.
+// superviseWatch starts, replaces or cancels the watch. After a silent one the
+// manifest is read as well, in case that the new watch is silent too.
 func (t *Tracker) superviseWatch() {
 	w := &t.watch
 	if !t.isWatcher() {
@@ -22,6 +23,7 @@
 	if w.active && t.now >= w.deadline {
 		t.cancelWatch()
 		t.emit(Report{Kind: WatchSilent, Version: t.holding.Version})
+		t.reread = true
 		first := w.retry.fails == 0
 		w.retry.failed(t)
 		if first {
@@ -33,8 +35,8 @@
 	}
 	w.active = true
 	w.id = t.newID()
-	w.deadline = t.now + t.config.WatchWait + t.config.WatchGrace
-	t.emit(StartWatch{ID: w.id, After: w.after, Wait: t.config.WatchWait})
+	w.deadline = t.now + t.watchWait + t.config.WatchGrace
+	t.emit(StartWatch{ID: w.id, After: w.after, Wait: t.watchWait})
 }
 
 func (t *Tracker) cancelWatch() {
