Run a controller per host that orders models under a lease

Engines held what they were started with; nothing followed the configuration.

Orders take the only ID that may follow the engine's last one, and a new holder begins with an empty order, which keeps earlier holders' orders from taking effect also where fencing numbers are ignored. Ruled out: writing each order down in the object API first, which costs a write for each and stops none.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,6 +28,8 @@
 	ConfigVersion uint64 `json:"config_version"`
 	Ready         bool   `json:"ready"`
 	Draining      bool   `json:"draining"`
+	// Holder says that a controller holds its data centre's lease.
+	Holder bool `json:"holder,omitempty"`
 }
 
 // Source gives what the surface shows.
--- /dev/null
+++ b/internal/controller/event.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"github.com/chestnutline/chestnutline/intent"
+	"github.com/chestnutline/chestnutline/internal/lease"
+	"github.com/chestnutline/chestnutline/internal/order"
+	"github.com/chestnutline/chestnutline/internal/platform"
+)
+
+// Event is what happened.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Leased hands an answer to the lease.
+type Leased struct{ Event lease.Event }
+
+// Ordered hands an answer to the orders.
+type Ordered struct{ Event order.Event }
+
+// HostsRead answers a ReadHosts.
+type HostsRead struct {
+	Failed bool
+	Hosts  []platform.Host
+}
+
+// ConfigurationRead answers a ReadConfiguration.
+type ConfigurationRead struct {
+	Failed bool
+	// Version is the accepted one, 0 for none.
+	Version uint64
+	// Configuration is nil when Version is not above the one asked for.
+	Configuration *intent.Configuration
+}
+
+// Shutdown asks for a graceful stop, which ends with Stopped.
+type Shutdown struct{}
+
+func (Tick) event()              {}
+func (Leased) event()            {}
+func (Ordered) event()           {}
+func (HostsRead) event()         {}
+func (ConfigurationRead) event() {}
+func (Shutdown) event()          {}
+
+// Effect is what the caller has to do.
+type Effect interface{ effect() }
+
+// Lease carries out an effect of the lease.
+type Lease struct{ Effect lease.Effect }
+
+// Order carries out an effect of the orders.
+type Order struct{ Effect order.Effect }
+
+// ReadHosts asks for the platform's list of hosts.
+type ReadHosts struct{}
+
+// ReadConfiguration asks for the accepted configuration if its version is
+// above the one given.
+type ReadConfiguration struct{ Above uint64 }
+
+// Configured tells that the holder goes by a configuration.
+type Configured struct{ Version uint64 }
+
+// Stopped ends a Shutdown.
+type Stopped struct{}
+
+func (Lease) effect()             {}
+func (Order) effect()             {}
+func (ReadHosts) effect()         {}
+func (ReadConfiguration) effect() {}
+func (Configured) effect()        {}
+func (Stopped) effect()           {}
--- /dev/null
+++ b/internal/controller/process/effects.go
@@ -0,0 +1,94 @@
+package process
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutline/chestnutline/internal/controller"
+	"github.com/chestnutline/chestnutline/internal/lease"
+	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/order"
+)
+
+// execute carries out one effect; it runs on the control thread and does not
+// block.
+func (p *Process) execute(effect controller.Effect) {
+	switch f := effect.(type) {
+	case controller.Lease:
+		p.executeLease(f.Effect)
+	case controller.Order:
+		p.executeOrder(f.Effect)
+	case controller.ReadHosts:
+		p.call(p.readHosts)
+	case controller.ReadConfiguration:
+		p.call(func(ctx context.Context) { p.readConfiguration(ctx, f.Above) })
+	case controller.Configured:
+		p.metrics.Gauge("configuration_version", float64(f.Version))
+		logevent.ControllerConfigured.Emit(p.log, log.Fields{"version": f.Version})
+	case controller.Stopped:
+		close(p.stopped)
+	}
+}
+
+// call runs one call to the outside on a goroutine of its own. The reducer
+// bounds their number: four to the platform and one to each engine.
+func (p *Process) call(f func(ctx context.Context)) {
+	p.calls.Go(func() { f(p.life) })
+}
+
+func (p *Process) executeLease(effect lease.Effect) {
+	switch f := effect.(type) {
+	case lease.Read:
+		p.call(p.readLease)
+	case lease.Write:
+		p.call(func(ctx context.Context) { p.writeLease(ctx, f) })
+	case lease.Acquired:
+		p.metrics.Gauge("lease_held", 1)
+		p.metrics.Gauge("lease_fencing_number", float64(f.Fencing))
+		logevent.LeaseAcquired.Emit(p.log, log.Fields{"fencing": f.Fencing, "data_centre": p.settings.DataCentre})
+	case lease.Lost:
+		p.metrics.Gauge("lease_held", 0)
+		p.metrics.Count("lease_lost_total", 1, "reason", string(f.Reason))
+		event := logevent.LeaseLost
+		if f.Reason == lease.ReasonReleased {
+			event = logevent.LeaseReleased
+		}
+		event.Emit(p.log, log.Fields{"fencing": f.Fencing, "reason": f.Reason})
+	}
+}
+
+func (p *Process) executeOrder(effect order.Effect) {
+	switch f := effect.(type) {
+	case order.ReadStatus:
+		p.call(func(ctx context.Context) { p.readStatus(ctx, f) })
+	case order.Send:
+		p.call(func(ctx context.Context) { p.send(ctx, f) })
+	default:
+		p.note(effect)
+	}
+}
+
+// note keeps the log and the metrics of what the orders have noted.
+func (p *Process) note(effect order.Effect) {
+	switch f := effect.(type) {
+	case order.Outdated:
+		logevent.FencingOutdated.Emit(p.log, log.Fields{"engine": f.Engine, "seen": f.Fencing})
+	case order.EngineNoted:
+		event := logevent.EngineAnswers
+		if f.Dead {
+			event = logevent.EngineSilent
+		}
+		event.Emit(p.log, log.Fields{"engine": f.Engine})
+	case order.EngineReset:
+		p.metrics.Count("engines_reset_total", 1)
+		logevent.EngineReset.Emit(p.log, log.Fields{"engine": f.Engine})
+	case order.ModelNoted:
+		event, absent := logevent.ModelServed, 0.0
+		if f.Absent {
+			event, absent = logevent.ModelAbsent, 1
+		}
+		p.metrics.Gauge("model_on_no_engine", absent, "model", f.Model)
+		event.Emit(p.log, log.Fields{"model": f.Model})
+	}
+}
--- /dev/null
+++ b/internal/controller/process/run.go
@@ -0,0 +1,75 @@
+package process
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/controller"
+	"github.com/chestnutline/chestnutline/internal/logevent"
+)
+
+// AddTo adds the process's actors to a group, which runs them until one ends.
+func (p *Process) AddTo(g *run.Group) error {
+	listener, err := net.Listen("tcp", p.settings.Admin)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators (--admin)")
+	}
+	p.addLoop(g)
+	g.Add(func() error { return p.admin.Serve(listener) }, func(error) { _ = p.admin.Close() })
+	p.addStop(g)
+	logevent.ProcessStarted.Emit(p.log, log.Fields{"host": p.settings.Host, "admin": p.settings.Admin})
+	return nil
+}
+
+// addLoop adds the control thread and the calls that it makes.
+func (p *Process) addLoop(g *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		p.loop(ctx)
+		p.cancel()
+		p.calls.Wait()
+		p.store.Close()
+		p.engines.Close()
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addStop adds the wait for a signal, and the graceful stop itself.
+func (p *Process) addStop(g *run.Group) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	done := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-signals:
+			p.stop(done)
+		case <-done:
+		}
+		return nil
+	}, func(error) {
+		signal.Stop(signals)
+		close(done)
+	})
+}
+
+// stop ends the orders and gives the lease up, within the limit.
+func (p *Process) stop(done <-chan struct{}) {
+	logevent.ProcessStopping.Emit(p.log, log.Fields{"host": p.settings.Host})
+	p.post(controller.Shutdown{})
+	limit := time.NewTimer(p.settings.StopLimit)
+	defer limit.Stop()
+	select {
+	case <-p.stopped:
+	case <-done:
+	case <-limit.C:
+		logevent.LeaseNotReleased.Emit(p.log, log.Fields{"limit": p.settings.StopLimit.String()})
+	}
+}
--- /dev/null
+++ b/internal/order/send.go
@@ -0,0 +1,42 @@
+package order
+
+import "time"
+
+// mayOrder says whether the engine may get an order that was decided on its
+// last report.
+func (c *Core) mayOrder(s *state) bool {
+	return s.fresh && !s.reading && s.pending == nil && !c.dead(s) &&
+		s.status.LastFencing <= c.term.Fencing
+}
+
+// barrierDone says whether no order of an earlier holder can take effect on
+// the engine any more.
+func (s *state) barrierDone() bool {
+	return s.barred || s.barriers >= maxBarriers
+}
+
+// bar sends an empty order to each engine that has not reported this term's
+// number. Like any order it takes the ID that an order of an earlier holder
+// must have to take effect.
+func (c *Core) bar(now time.Duration) {
+	for _, s := range c.engines {
+		if c.mayOrder(s) && !s.barrierDone() {
+			c.send(now, s, nil, nil)
+		}
+	}
+}
+
+func (c *Core) send(now time.Duration, s *state, load, unload []string) {
+	s.pending = &pending{token: c.nextToken(), load: load, unload: unload}
+	s.fresh = false
+	c.emit(Send{
+		Engine:   s.Name,
+		Address:  s.Address,
+		Token:    s.pending.token,
+		NotAfter: min(c.term.Until, now+c.cfg.OrderTimeout),
+		ID:       s.nextID(),
+		Fencing:  c.term.Fencing,
+		Load:     load,
+		Unload:   unload,
+	})
+}
--- /dev/null
+++ b/internal/order/state.go
@@ -0,0 +1,194 @@
+package order
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxBarriers is how many empty orders an engine gets that does not report
+// the fencing number of the last one.
+const maxBarriers = 5
+
+// idPrefix begins the ID of every order; a number follows.
+const idPrefix = "order-"
+
+// state is what is believed of one engine.
+type state struct {
+	Engine
+	// due is when the status is read next; reading says that token's read is
+	// in flight.
+	due      time.Duration
+	reading  bool
+	token    uint64
+	failures int
+
+	// known says that status was read in this term, fresh that no order was
+	// sent since.
+	known, fresh bool
+	status       Status
+	// barriers counts the empty orders answered since the engine last
+	// reported this term's number; barred says that it has reported it.
+	barriers int
+	barred   bool
+	// loadingSince is when the loads in progress were first seen.
+	loadingSince time.Duration
+
+	pending *pending
+}
+
+// pending is an order whose answer is awaited.
+type pending struct {
+	token  uint64
+	load   []string
+	unload []string
+}
+
+func (s *state) has(name string) bool {
+	return slices.Contains(s.status.Models, name)
+}
+
+func (s *state) loads(name string) bool {
+	return slices.Contains(s.status.Loading, name) || s.pending != nil && slices.Contains(s.pending.load, name)
+}
+
+// busy says whether the engine loads anything.
+func (s *state) busy() bool {
+	return len(s.status.Loading) > 0 || s.pending != nil && len(s.pending.load) > 0
+}
+
+// hasOther says whether the engine serves another version of a model.
+func (s *state) hasOther(m Model) bool {
+	return slices.ContainsFunc(s.status.Models, func(held string) bool {
+		name, version, adapter := split(held)
+		return name == m.Name && version != m.Version && adapter == ""
+	})
+}
+
+// ready says whether the engine serves the model with its adapters.
+func (s *state) ready(m Model) bool {
+	for _, name := range m.held() {
+		if !s.has(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// nextID is the only ID that may follow the last order that the engine has
+// run, whoever gave it.
+func (s *state) nextID() string {
+	last := s.status.LastOrder
+	if last == "" {
+		return idPrefix + "1"
+	}
+	n, err := strconv.ParseUint(strings.TrimPrefix(last, idPrefix), 10, 62)
+	if err != nil {
+		n = xxhash.Sum64String(last) >> 8
+	}
+	return idPrefix + strconv.FormatUint(n+1, 10)
+}
+
+// dead says whether the engine has ceased to answer.
+func (c *Core) dead(s *state) bool {
+	return s.failures >= c.cfg.DeadAfter
+}
+
+// usable says whether the engine can hold models.
+func (c *Core) usable(s *state) bool {
+	return s.known && !s.Leaving && !c.dead(s)
+}
+
+// readDue reads the statuses that are due, except while an order is in flight.
+func (c *Core) readDue(now time.Duration) {
+	for _, s := range c.engines {
+		if s.reading || s.pending != nil || now < s.due {
+			continue
+		}
+		s.reading = true
+		s.token = c.nextToken()
+		c.emit(ReadStatus{Engine: s.Name, Address: s.Address, Token: s.token})
+	}
+}
+
+func (c *Core) statusRead(now time.Duration, e StatusRead) {
+	s := find(c.engines, e.Engine)
+	if s == nil || !s.reading || s.token != e.Token {
+		return
+	}
+	s.reading = false
+	if e.Failed {
+		c.readFailed(now, s)
+		return
+	}
+	if c.dead(s) {
+		c.emit(EngineNoted{Engine: s.Name})
+	}
+	s.failures = 0
+	c.learn(now, s, e.Status)
+	s.due = now + c.jitter(c.idle())
+	if s.busy() {
+		s.due = now + c.jitter(c.cfg.ActiveEvery)
+	}
+}
+
+// learn takes an engine's report.
+func (c *Core) learn(now time.Duration, s *state, report Status) {
+	if len(s.status.Loading) == 0 || !s.known {
+		s.loadingSince = now
+	}
+	s.known, s.fresh = true, true
+	s.status = report
+	barred := report.LastFencing == c.term.Fencing
+	if s.barred && !barred {
+		s.barriers = 0
+		c.emit(EngineReset{Engine: s.Name})
+	}
+	s.barred = barred
+	if barred {
+		s.barriers = 0
+	}
+	if report.LastFencing > c.term.Fencing {
+		c.emit(Outdated{Engine: s.Name, Fencing: report.LastFencing})
+	}
+}
+
+func (c *Core) readFailed(now time.Duration, s *state) {
+	s.failures++
+	s.fresh = false
+	if s.failures == c.cfg.DeadAfter {
+		c.emit(EngineNoted{Engine: s.Name, Dead: true})
+	}
+	s.due = now + c.jitter(c.cfg.ActiveEvery)
+	if c.dead(s) {
+		s.due = now + c.jitter(c.idle())
+	}
+}
+
+// idle is the mean time between two reads of an engine with nothing to do.
+func (c *Core) idle() time.Duration {
+	scaled := time.Duration(float64(len(c.engines)) / c.cfg.ReadRate * float64(time.Second))
+	return max(c.cfg.ReadMin, scaled)
+}
+
+func (c *Core) orderDone(now time.Duration, e OrderDone) {
+	s := find(c.engines, e.Engine)
+	if s == nil || s.pending == nil || s.pending.token != e.Token {
+		return
+	}
+	empty := len(s.pending.load)+len(s.pending.unload) == 0
+	s.pending = nil
+	s.fresh = false
+	s.due = now
+	switch e.Outcome {
+	case Taken:
+		if empty {
+			s.barriers++
+		}
+	case NotRun, Unknown, Fenced:
+		s.due = now + c.jitter(c.cfg.ActiveEvery)
+	}
+}
