Catch the signals to stop before a port opens

Ruled out: a slow test; the same gap was in the router. Change: stop.OnSignal catches signals from its call on, and is called first in every process.

--- a/cmd/chestnut-standin/actors.go
+++ b/cmd/chestnut-standin/actors.go
@@ -1,18 +1,14 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
-	perrors "github.com/pkg/errors"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutline/chestnutline/internal/finding"
 )
@@ -23,20 +19,11 @@
 	highestPort       = 65535
 )
 
-func stopOnSignal() (func() error, func(error)) {
-	return run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM)
-}
-
-func isSignal(err error) bool {
-	var s *run.SignalError
-	return errors.As(err, &s)
-}
-
 // serve adds an HTTP server to the group and returns the address it listens on.
 func serve(group *run.Group, address string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", perrors.Wrapf(err, "listen on %s", address)
+		return "", errors.Wrapf(err, "listen on %s", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutline/chestnutline/internal/finding"
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/settings"
+	"github.com/chestnutline/chestnutline/internal/stop"
 )
 
 // version is set by the linker.
@@ -74,16 +75,15 @@
 	}
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	var group run.Group
-	group.Add(stopOnSignal())
+	group.Add(stop.OnSignal(nil, func() {}))
 	if err := c.run(logger, &group); err != nil {
 		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
 		return exitFailed
 	}
-	err := group.Run()
-	if isSignal(err) {
-		logevent.ProcessStopped.Emit(logger, nil)
-		return 0
+	if err := group.Run(); err != nil {
+		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
+		return exitFailed
 	}
-	logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
-	return exitFailed
+	logevent.ProcessStopped.Emit(logger, nil)
+	return 0
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -14,10 +11,12 @@
 
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/router"
+	"github.com/chestnutline/chestnutline/internal/stop"
 )
 
 // AddTo adds the process's actors to a group, which runs them until one ends.
 func (p *Process) AddTo(g *run.Group) error {
+	g.Add(stop.OnSignal(p.interrupted, p.Drain))
 	listeners, err := p.listen()
 	if err != nil {
 		return err
@@ -25,7 +24,6 @@
 	p.addLoop(g)
 	p.addServers(g, listeners)
 	p.addDirectory(g)
-	p.addStop(g)
 	logevent.ProcessStarted.Emit(p.log, log.Fields{
 		"host": p.settings.Host, "listen": p.settings.Listen, "admin": p.settings.Admin, "peer": p.settings.Peer,
 	})
@@ -109,26 +107,6 @@
 	p.loop.Inspect(ctx, func(c *router.Core) { p.hosts.Store(int64(c.Hosts())) })
 }
 
-// addStop adds the wait for a signal to stop, and the graceful stop itself.
-func (p *Process) addStop(g *run.Group) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	done := make(chan struct{})
-	g.Add(func() error {
-		select {
-		case <-signals:
-		case <-p.interrupted:
-		case <-done:
-			return nil
-		}
-		p.Drain()
-		return nil
-	}, func(error) {
-		signal.Stop(signals)
-		close(done)
-	})
-}
-
 // Drain stops the host gracefully: nothing new is admitted, requests in flight
 // finish, and only then it returns.
 func (p *Process) Drain() {
