Prove whole and own answers; a refused resume proves nothing

Cause: found by reading: when an engine died in mid-answer the refused connection of the resume counted as proof that the attempt was not run, and a request failed then was told not_run. A continued answer never reported its first token, so its prefill stayed on the books; resumes were not counted from the last progress. Change: a resumed attempt's refusal is of unknown fate; the first piece of each connection is reported; a waiting request that can't finish in time any more is given up at once; the queue is walked in place; cached blocks are searched by halves.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -146,7 +146,10 @@
 	if r == nil || len(r.group) == 0 || r.phase == phaseCalling {
 		return
 	}
-	r.delivered = max(r.delivered, e.Delivered)
+	if e.Delivered > r.delivered {
+		r.delivered = e.Delivered
+		r.resumed = 0
+	}
 	r.resumed++
 	leader := r.group[0]
 	if r.resumed > maxResumes || leader.gone {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,12 +13,12 @@
 // not held up; once it is overdue, the engines it needs are kept free for it.
 func (c *Core) schedule(now time.Duration) {
 	p := pass{core: c, now: now}
-	waiting := append([]*request(nil), c.queue.items...)
-	for _, r := range waiting {
-		if p.failed >= maxPasses {
-			return
-		}
+	for i := 0; i < len(c.queue.items) && p.failed < maxPasses; {
+		r := c.queue.items[i]
 		p.try(r)
+		if i < len(c.queue.items) && c.queue.items[i] == r {
+			i++
+		}
 	}
 }
 
@@ -47,6 +47,10 @@
 	if r.notBefore > p.now {
 		return
 	}
+	if p.tooLate(r) {
+		c.fail(p.now, r, CodeOverloaded, minRetryAfter)
+		return
+	}
 	if p.hopeless(r) {
 		p.failed++
 		return
@@ -68,6 +72,18 @@
 	}
 }
 
+// bestDecode is the least part of the predicted decode time that an answer takes.
+const bestDecode = 0.5
+
+// tooLate says whether a waiting request could not finish in time even at the
+// best; it is given up at once then, so that its caller can go elsewhere.
+func (p *pass) tooLate(r *request) bool {
+	c := p.core
+	members := divideUp(r.cost.uncached, c.cfg.SpreadTokens)
+	least := r.cost.prefill/time.Duration(members) + time.Duration(bestDecode*float64(r.cost.decode))
+	return p.now+least+c.cfg.FinishMargin > r.Deadline
+}
+
 // hopeless says whether a smaller request of the class found no engine. An
 // overdue one may go to more engines, so it is tried all the same.
 func (p *pass) hopeless(r *request) bool {
--- a/internal/dispatch/prefix.go
+++ b/internal/dispatch/prefix.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "sort"
+
 // prefixTable remembers which prompt prefixes an engine has cached. Events
 // come late and with gaps; after a gap nothing is believed until new events.
 type prefixTable struct {
@@ -45,17 +47,18 @@
 	}
 }
 
-// longest returns how many of the leading blocks are cached.
+// longest returns how many of the leading blocks are cached. An engine caches
+// a block only behind the ones before it, so the blocks are searched by halves.
 func (t *prefixTable) longest(prefixes []uint64) int {
-	if len(t.cached) == 0 {
+	if len(t.cached) == 0 || len(prefixes) == 0 || !t.has(prefixes[0]) {
 		return 0
 	}
-	for n := len(prefixes); n > 0; n-- {
-		if _, ok := t.cached[prefixes[n-1]]; ok {
-			return n
-		}
-	}
-	return 0
+	return 1 + sort.Search(len(prefixes)-1, func(i int) bool { return !t.has(prefixes[i+1]) })
+}
+
+func (t *prefixTable) has(prefix uint64) bool {
+	_, ok := t.cached[prefix]
+	return ok
 }
 
 // cacheReported applies cache events; a gap voids what was known and asks
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -28,7 +28,7 @@
 	phase     phase
 	// key orders the queue and the engine's work, smaller first.
 	key time.Duration
-	// notBefore holds a retry back.
+	// notBefore holds a retry back until then.
 	notBefore time.Duration
 	// attempt numbers what is sent; tries counts against MaxAttempts.
 	attempt uint32
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -32,6 +32,8 @@
 	// first is the timeout for the first piece, silence that between pieces.
 	first   time.Duration
 	silence time.Duration
+	// resumed says that the attempt was already running before this connection.
+	resumed bool
 }
 
 // send starts an attempt and reads its answer.
@@ -78,7 +80,7 @@
 		return
 	}
 	offset, _ := x.position()
-	s := stream{executor: e, exchange: x, attempt: f.Attempt, ctx: ctx, first: e.cfg.SilenceTimeout, silence: e.cfg.SilenceTimeout}
+	s := stream{executor: e, exchange: x, attempt: f.Attempt, ctx: ctx, first: e.cfg.SilenceTimeout, silence: e.cfg.SilenceTimeout, resumed: true}
 	s.run(func(ctx context.Context) (engine.Stream, error) {
 		return e.engines.Resume(ctx, f.Address, engine.WorkID{Request: f.ID, Attempt: f.Attempt}, offset)
 	})
@@ -104,6 +106,7 @@
 
 // deliver passes pieces on until the last one; nil means the answer is whole.
 func (s *stream) deliver(source engine.Stream, watch *watchdog) error {
+	begun := false
 	for {
 		p, err := source.Next()
 		if errors.Is(err, io.EOF) {
@@ -113,7 +116,6 @@
 			return err
 		}
 		watch.reset(s.silence)
-		before, _ := s.exchange.position()
 		switch s.exchange.accept(s.attempt, p) {
 		case gap:
 			return errGap
@@ -121,9 +123,9 @@
 			continue
 		case accepted:
 		}
-		if before == 0 && p.Tokens > 0 {
-			s.executor.cfg.Metrics.Observe(metricFirstToken, time.Since(s.exchange.opened), "class", s.exchange.class())
-			s.executor.report(dispatch.FirstToken{ID: s.exchange.ID, Attempt: s.attempt})
+		if !begun && p.Tokens > 0 {
+			begun = true
+			s.started(p)
 		}
 		if p.Finish != "" {
 			return finishError(p.Finish)
@@ -131,6 +133,15 @@
 	}
 }
 
+// started reports the first piece that came on this connection.
+func (s *stream) started(p engine.Piece) {
+	x := s.exchange
+	if p.Offset == 0 {
+		s.executor.cfg.Metrics.Observe(metricFirstToken, time.Since(x.opened), "class", x.class())
+	}
+	s.executor.report(dispatch.FirstToken{ID: x.ID, Attempt: s.attempt})
+}
+
 func finishError(finish string) error {
 	if finish == finishStop || finish == finishLength {
 		return nil
@@ -152,6 +163,16 @@
 	case watch.barked() || errors.Is(err, errGap):
 		s.executor.report(dispatch.Stalled{ID: id, Attempt: s.attempt, Delivered: tokens})
 	default:
-		s.executor.report(dispatch.AttemptFailed{ID: id, Attempt: s.attempt, Class: engineClass(err), Delivered: tokens})
+		s.executor.report(dispatch.AttemptFailed{ID: id, Attempt: s.attempt, Class: s.class(err), Delivered: tokens})
+	}
+}
+
+// class is what an error proves of the attempt. That an engine refused to
+// resume says nothing of what it ran before.
+func (s *stream) class(err error) dispatch.Class {
+	class := engineClass(err)
+	if s.resumed && (class == dispatch.NotRun || class == dispatch.NoMemory) {
+		return dispatch.Unknown
 	}
+	return class
 }
