Know cached prefixes from own requests; leave a stopping predecessor's work alone

Work of an earlier incarnation of a host was cancelled although that one may still be finishing it gracefully beside its replacement. Change: prefixes of prompts that this host had processed are remembered as its own knowledge and outlast gaps; membership's IncarnationReplaced tells whether the old one was leaving. Tests: single decisions (short engines, memory reserve, refusals at once, fairness, bounded affinity, gaps, leaving predecessor).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -121,6 +121,7 @@
 	}
 	r.phase = phaseStreaming
 	c.prefilled(now, r)
+	c.learnPrefixes(r)
 	c.dirty = true
 }
 
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -112,14 +112,14 @@
 
 // orphaned says whether listed work has no owner that still wants it.
 func (c *Core) orphaned(now time.Duration, w HeldWork) bool {
-	if w.Host == c.cfg.Host {
-		return c.ownOrphan(w)
-	}
 	if now > w.Deadline+c.cfg.OverdueGrace {
 		return true
 	}
+	if w.Host == c.cfg.Host {
+		return c.ownOrphan(w)
+	}
 	owner, known := c.hosts[w.Host]
-	if !known {
+	if !known || owner.finishing == w.Incarnation {
 		return false
 	}
 	if owner.incarnation > w.Incarnation {
@@ -128,11 +128,12 @@
 	return owner.incarnation == w.Incarnation && owner.state == HostDead
 }
 
-// ownOrphan recognises work of this host that it no longer wants: of an
-// earlier incarnation, of a request that is over, or of an attempt given up.
+// ownOrphan recognises work of this host that it no longer wants: of a request
+// that is over, or of an attempt given up. Work of an earlier incarnation is
+// left to the other hosts, which know whether that one is still finishing it.
 func (c *Core) ownOrphan(w HeldWork) bool {
 	if w.Incarnation != c.cfg.Incarnation {
-		return true
+		return c.sharers() == 1
 	}
 	r := c.requests[w.ID]
 	return r == nil || w.Attempt < r.attempt || r.phase == phaseQueued
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -118,6 +118,8 @@
 		c.peerReported(e)
 	case HostChanged:
 		c.hostChanged(e)
+	case HostReplaced:
+		c.hostReplaced(e)
 	case WorkListed:
 		c.workListed(now, e)
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -188,6 +188,16 @@
 	State       HostState
 }
 
+// HostReplaced says that a later incarnation of another host is heard of.
+type HostReplaced struct {
+	Host string
+	// Old is the earlier incarnation.
+	Old uint64
+	// Leaving says that the earlier one was stopping gracefully and may still
+	// be finishing its work.
+	Leaving bool
+}
+
 // HeldWork is one entry of an engine's work list.
 type HeldWork struct {
 	ID          string
@@ -227,6 +237,7 @@
 func (CacheReported) event()    {}
 func (PeerReported) event()     {}
 func (HostChanged) event()      {}
+func (HostReplaced) event()     {}
 func (WorkListed) event()       {}
 func (Tick) event()             {}
 func (Shutdown) event()         {}
--- /dev/null
+++ b/internal/dispatch/policy_test.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// loneCore is a core with engines that never answer, for tests of single decisions.
+func loneCore(t *testing.T, engines int) *Core {
+	t.Helper()
+	c, err := New(testConfig(PolicyDefault, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i)
+		c.Step(0, UpstreamListed{Name: name, Address: name, DataCentre: "a"})
+		c.Step(0, LoadReported{Name: name, MemoryTotal: 400_000, PrefillRate: 90_000, DecodeStep: 40 * time.Millisecond, Models: []string{"m@1"}})
+	}
+	return c
+}
+
+func promptOf(id, organisation string, tokens int, deadline time.Duration) Arrived {
+	return Arrived{
+		ID: id, Organisation: organisation, Share: 1, Model: "m@1",
+		PromptTokens: tokens, MaxTokens: 100, Deadline: deadline,
+	}
+}
+
+func sentTo(effects []Effect) string {
+	for _, f := range effects {
+		if s, ok := f.(Send); ok {
+			return s.Group[0].Upstream
+		}
+	}
+	return ""
+}
+
+func refusal(effects []Effect) (Refuse, bool) {
+	for _, f := range effects {
+		if r, ok := f.(Refuse); ok {
+			return r, true
+		}
+	}
+	return Refuse{}, false
+}
+
+// TestShortPromptsHaveTheirOwnEngines: prompts that are not short leave the
+// engine of the short ones free.
+func TestShortPromptsHaveTheirOwnEngines(t *testing.T) {
+	c := loneCore(t, 4)
+	for i := range 12 {
+		if to := sentTo(c.Step(0, promptOf(fmt.Sprintf("m%d", i), "o", 20_000, time.Minute))); to == "engine-0" {
+			t.Fatalf("prompt %d of 20,000 tokens went to the engine for short ones", i)
+		}
+	}
+	if to := sentTo(c.Step(0, promptOf("s", "o", 1_000, time.Minute))); to != "engine-0" {
+		t.Fatalf("the short prompt went to %q", to)
+	}
+}
+
+// TestLongPromptLeavesMemoryForOthers: with the memory of lighter requests
+// observed, a book starts only when their reserve stays free.
+func TestLongPromptLeavesMemoryForOthers(t *testing.T) {
+	c := loneCore(t, 4)
+	c.mix.light = estimate{mean: 500_000}
+	for i := range 3 {
+		c.Step(0, promptOf(fmt.Sprintf("b%d", i), "o", 300_000, time.Minute))
+	}
+	free := 0
+	for _, u := range c.engines[1:] {
+		free += u.memoryFree(&c.cfg)
+	}
+	if free < 500_000 {
+		t.Fatalf("only %d tokens are left free", free)
+	}
+}
+
+// TestImpossibleLimitIsRefusedAtOnce: refusals come with the arrival, and an
+// overloaded host says when to come back.
+func TestImpossibleLimitIsRefusedAtOnce(t *testing.T) {
+	c := loneCore(t, 2)
+	r, ok := refusal(c.Step(0, promptOf("x", "o", 50_000, time.Second)))
+	if !ok || r.Code != CodeLimitTooTight {
+		t.Fatalf("got %+v", r)
+	}
+	for i := range 1000 {
+		r, ok = refusal(c.Step(0, promptOf(fmt.Sprintf("r%d", i), "o", 30_000, 20*time.Second)))
+		if ok {
+			break
+		}
+	}
+	if !ok || r.Code != CodeOverloaded || r.RetryAfter < minRetryAfter {
+		t.Fatalf("got %+v", r)
+	}
+}
+
+// TestLargeOrganisationDoesNotStarveSmallOne: behind a burst of a large
+// organisation a small one's request is placed before the burst's rest.
+func TestLargeOrganisationDoesNotStarveSmallOne(t *testing.T) {
+	c := loneCore(t, 2)
+	for i := range 200 {
+		c.Step(0, promptOf(fmt.Sprintf("big%03d", i), "big", 30_000, 2*time.Minute))
+	}
+	if len(c.queue.items) < 20 {
+		t.Fatalf("only %d requests wait; the burst is too small for the test", len(c.queue.items))
+	}
+	c.Step(time.Millisecond, promptOf("small", "small", 30_000, 2*time.Minute))
+	for i, r := range c.queue.items {
+		if r.ID == "small" {
+			if i > len(c.queue.items)/2 {
+				t.Fatalf("the small organisation is at place %d of %d", i, len(c.queue.items))
+			}
+			return
+		}
+	}
+}
+
+// TestCachedPrefixDoesNotBeatAHotSpot: the engine with the prefix gets the
+// request while it is no busier than the others, and loses it when it is.
+func TestCachedPrefixDoesNotBeatAHotSpot(t *testing.T) {
+	request := func(id string) Arrived {
+		e := promptOf(id, "o", 8_192, time.Minute)
+		e.Prefixes = []uint64{11, 12, 13, 14, 15, 16, 17, 18}
+		e.BlockTokens = 512
+		return e
+	}
+	c := loneCore(t, 5)
+	var changes []CacheChange
+	for i, p := range request("").Prefixes {
+		changes = append(changes, CacheChange{Sequence: uint64(i), Prefix: p})
+	}
+	c.Step(0, CacheReported{Name: "engine-3", Changes: changes, Next: uint64(len(changes))})
+	if to := sentTo(c.Step(0, request("r1"))); to != "engine-3" {
+		t.Fatalf("the cached prefix did not draw the request: it went to %q", to)
+	}
+	c.Step(0, PeerReported{Host: "peer", Work: []PeerWork{{Upstream: "engine-3", Requests: 9, PrefillTokens: 60_000}}})
+	if to := sentTo(c.Step(0, request("r2"))); to == "engine-3" || to == "" {
+		t.Fatalf("the hot spot got the request: %q", to)
+	}
+}
+
+// TestGapInCacheEventsIsUnknown: what events said is forgotten after a gap.
+func TestGapInCacheEventsIsUnknown(t *testing.T) {
+	c := loneCore(t, 2)
+	c.Step(0, CacheReported{Name: "engine-1", Changes: []CacheChange{{Sequence: 0, Prefix: 5}}, Next: 1})
+	c.Step(0, CacheReported{Name: "engine-1", Changes: []CacheChange{{Sequence: 3, Prefix: 6}}, Next: 4})
+	u := c.upstreams["engine-1"]
+	if u.prefixes.has(5) || !u.prefixes.has(6) {
+		t.Fatalf("after the gap: %+v", u.prefixes.cached)
+	}
+}
+
+// TestWorkOfALeavingPredecessorIsLeftAlone: a host that stops gracefully may
+// be replaced under its name while it finishes; a crashed one is cleaned up after.
+func TestWorkOfALeavingPredecessorIsLeftAlone(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		c := loneCore(t, 1)
+		c.Step(0, HostChanged{Host: "h2", Incarnation: 1, State: HostAlive})
+		c.Step(0, HostReplaced{Host: "h2", Old: 1, Leaving: leaving})
+		c.Step(0, HostChanged{Host: "h2", Incarnation: 2, State: HostAlive})
+		work := []HeldWork{{ID: "w", Attempt: 1, Host: "h2", Incarnation: 1, Deadline: time.Minute, Tokens: 5}}
+		effects := c.Step(time.Second, WorkListed{Name: "engine-0", Work: work})
+		if cancelled := len(effects) > 0; cancelled == leaving {
+			t.Errorf("leaving %v: cancelled %v", leaving, cancelled)
+		}
+		effects = c.Step(time.Minute+10*time.Second, WorkListed{Name: "engine-0", Work: work})
+		if leaving && len(effects) == 0 {
+			t.Error("overdue work was not cancelled")
+		}
+	}
+}
--- a/internal/dispatch/prefix.go
+++ b/internal/dispatch/prefix.go
@@ -2,24 +2,41 @@
 
 import "sort"
 
-// prefixTable remembers which prompt prefixes an engine has cached. Events
-// come late and with gaps; after a gap nothing is believed until new events.
+// prefixTable remembers which prompt prefixes an engine has cached: what its
+// events say, and what this host had processed there itself. Events come late
+// and with gaps; after a gap only the host's own knowledge is left.
 type prefixTable struct {
-	cached map[uint64]uint64
+	cached map[uint64]prefixMark
 	// order lists prefixes by age for eviction beyond the bound.
 	order []prefixEntry
 	next  uint64
+	marks uint64
 }
 
-// prefixEntry is a prefix with the sequence of the event that named it.
+// prefixMark tells when a prefix was noted and by whom.
+type prefixMark struct {
+	number uint64
+	own    bool
+}
+
+// prefixEntry is a prefix with the number of the mark that it was noted under.
 type prefixEntry struct {
-	prefix   uint64
-	sequence uint64
+	prefix uint64
+	number uint64
 }
 
-func (t *prefixTable) reset(next uint64) {
-	t.cached = nil
-	t.order = t.order[:0]
+// gap forgets what events said, as some of them are lost.
+func (t *prefixTable) gap(next uint64) {
+	kept := t.order[:0]
+	for _, e := range t.order {
+		mark, known := t.cached[e.prefix]
+		if known && mark.own && mark.number == e.number {
+			kept = append(kept, e)
+		} else if known && mark.number == e.number {
+			delete(t.cached, e.prefix)
+		}
+	}
+	t.order = kept
 	t.next = next
 }
 
@@ -29,11 +46,20 @@
 		delete(t.cached, change.Prefix)
 		return
 	}
+	t.note(change.Prefix, false, bound)
+}
+
+// note adds a prefix; the oldest gives way beyond the bound.
+func (t *prefixTable) note(prefix uint64, own bool, bound int) {
 	if t.cached == nil {
-		t.cached = make(map[uint64]uint64)
+		t.cached = make(map[uint64]prefixMark)
 	}
-	t.cached[change.Prefix] = change.Sequence
-	t.order = append(t.order, prefixEntry{prefix: change.Prefix, sequence: change.Sequence})
+	if mark, known := t.cached[prefix]; known && mark.own {
+		own = true
+	}
+	t.marks++
+	t.cached[prefix] = prefixMark{number: t.marks, own: own}
+	t.order = append(t.order, prefixEntry{prefix: prefix, number: t.marks})
 	for len(t.order) > bound {
 		t.dropOldest()
 	}
@@ -42,7 +68,7 @@
 func (t *prefixTable) dropOldest() {
 	oldest := t.order[0]
 	t.order = t.order[1:]
-	if t.cached[oldest.prefix] == oldest.sequence {
+	if t.cached[oldest.prefix].number == oldest.number {
 		delete(t.cached, oldest.prefix)
 	}
 }
@@ -73,13 +99,13 @@
 			continue
 		}
 		if change.Sequence > u.prefixes.next {
-			u.prefixes.reset(change.Sequence)
+			u.prefixes.gap(change.Sequence)
 		}
 		u.prefixes.apply(change, c.cfg.MaxPrefixes)
 	}
 	if e.Next < u.prefixes.next {
 		// The engine started over: its cache is empty.
-		u.prefixes.reset(0)
+		u.prefixes = prefixTable{}
 		c.emit(Resync{Upstream: u.name, Address: u.address, From: 0})
 	}
 }
@@ -89,3 +115,13 @@
 	blocks := u.prefixes.longest(r.Prefixes)
 	return min(blocks*r.BlockTokens, max(0, r.PromptTokens-1))
 }
+
+// learnPrefixes notes that an engine has just processed a prompt's prefixes.
+func (c *Core) learnPrefixes(r *request) {
+	if len(r.group) != 1 {
+		return
+	}
+	for _, prefix := range r.Prefixes {
+		r.group[0].prefixes.note(prefix, true, c.cfg.MaxPrefixes)
+	}
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -345,6 +345,8 @@
 type peerHost struct {
 	incarnation uint64
 	state       HostState
+	// finishing is an earlier incarnation that may still end its work.
+	finishing uint64
 }
 
 // peerReported replaces what is known of a host's work on the upstreams named.
@@ -396,6 +398,15 @@
 	c.dirty = true
 }
 
+func (c *Core) hostReplaced(e HostReplaced) {
+	if !e.Leaving {
+		return
+	}
+	h := c.hosts[e.Host]
+	h.finishing = e.Old
+	c.hosts[e.Host] = h
+}
+
 // OwnWork returns what this host has in flight on each engine, ordered by
 // name, for its peers.
 func (c *Core) OwnWork() []PeerWork {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -30,6 +30,8 @@
 			c.digestReceived(now, m)
 		case membership.IncarnationReplaced:
 			c.emit(MemberNoted{Effect: m})
+			leaving := m.OldState == wire.Leaving
+			c.dispatched(now, dispatch.HostReplaced{Host: m.Host, Old: m.Old, Leaving: leaving})
 		case membership.Superseded, membership.SelfIncarnation, membership.DataCentreChanged:
 			c.emit(MemberNoted{Effect: m})
 		}
