Read the host list only when it changed; ask far upstreams seldom; name a request given up

Cause: each host read the whole list of hosts every second and polled every upstream of every data centre four times a second; both grow with the fleet. A request given up after its admission looked like a refusal. Change: conditional reads of the list (ETag); upstreams of other data centres are asked once a second; code given_up.

--- a/internal/callers/problem.go
+++ b/internal/callers/problem.go
@@ -58,9 +58,12 @@
 	dispatch.CodeLimitTooTight: {
 		http.StatusUnprocessableEntity, "The time limit is shorter than the request takes alone.",
 	},
-	dispatch.CodeTooLarge:   {http.StatusUnprocessableEntity, "The prompt needs more memory than the engines have."},
-	dispatch.CodeDraining:   {http.StatusServiceUnavailable, "This host is stopping."},
-	dispatch.CodeTimeLimit:  {http.StatusGatewayTimeout, "The time limit has passed."},
+	dispatch.CodeTooLarge:  {http.StatusUnprocessableEntity, "The prompt needs more memory than the engines have."},
+	dispatch.CodeDraining:  {http.StatusServiceUnavailable, "This host is stopping."},
+	dispatch.CodeTimeLimit: {http.StatusGatewayTimeout, "The time limit has passed."},
+	dispatch.CodeGivenUp: {
+		http.StatusServiceUnavailable, "The admitted request could not finish within its time limit any more.",
+	},
 	dispatch.CodeUpstream:   {http.StatusBadGateway, "The upstream failed."},
 	dispatch.CodeCallerGone: {statusClientClosed, "The caller hung up."},
 	dispatch.CodeClaimed:    {http.StatusConflict, "Another request holds the idempotency key."},
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -139,7 +139,7 @@
 		CancelRetryMax:    2 * time.Second,
 		CancelLimit:       30 * time.Second,
 		OverdueGrace:      2 * time.Second,
-		ReportTimeout:     2 * time.Second,
+		ReportTimeout:     3 * time.Second,
 		FairBurst:         2 * time.Second,
 		MaxQueue:          20_000,
 		MaxPrefixes:       4096,
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -19,7 +19,9 @@
 	CodeTimeLimit     Code = "time_limit"
 	CodeUpstream      Code = "upstream_failed"
 	CodeCallerGone    Code = "caller_gone"
-	CodeClaimed       Code = "claim_refused"
+	// CodeGivenUp: an admitted request could not finish in time any more.
+	CodeGivenUp Code = "given_up"
+	CodeClaimed Code = "claim_refused"
 )
 
 // Outcome says whether a request that got no answer was run.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,7 @@
 	dataCentre string
 	http       *http.Client
 	transport  *http.Transport
+	list       hostList
 }
 
 // NewClient returns a Client, or an error when the base URL can't be used.
@@ -132,11 +134,33 @@
 	return answer.Objects, answer.Reached, nil
 }
 
-// Hosts returns the platform's list with addresses as seen from the caller's data centre.
+// hostList is the list of hosts as read last.
+type hostList struct {
+	mu    sync.Mutex
+	tag   string
+	hosts []Host
+}
+
+// Hosts returns the platform's list with addresses as seen from the caller's
+// data centre. A list that has not changed since the last call is not sent
+// again; callers must not change the one returned.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	c.list.mu.Lock()
+	defer c.list.mu.Unlock()
+	query := url.Values{"data_centre": {c.dataCentre}}
+	a, err := c.callIf(ctx, c.timeout, http.MethodGet, PathHosts, query, nil, c.list.tag)
+	if err != nil {
+		return nil, errors.Wrap(err, "list hosts")
+	}
+	if a.unchanged {
+		return c.list.hosts, nil
+	}
 	var hosts []Host
-	err := c.read(ctx, c.timeout, PathHosts, url.Values{"data_centre": {c.dataCentre}}, &hosts)
-	return hosts, errors.Wrap(err, "list hosts")
+	if err := json.Unmarshal(a.body, &hosts); err != nil {
+		return nil, errors.Wrapf(ErrUnknown, "list hosts: decode the answer: %v", err)
+	}
+	c.list.tag, c.list.hosts = a.tag, hosts
+	return hosts, nil
 }
 
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string, query url.Values, into any) error {
@@ -153,9 +177,18 @@
 type answer struct {
 	body    []byte
 	version uint64
+	// tag names the content; unchanged says that it is the one asked about.
+	tag       string
+	unchanged bool
 }
 
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, query url.Values, body []byte) (answer, error) {
+	return c.callIf(ctx, timeout, method, path, query, body, "")
+}
+
+// callIf makes a call that is answered without content while the content
+// still has the tag given.
+func (c *Client) callIf(ctx context.Context, timeout time.Duration, method, path string, query url.Values, body []byte, tag string) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var sent atomic.Bool
@@ -167,6 +200,9 @@
 		return answer{}, errors.Wrapf(ErrUnavailable, "form the request: %v", err)
 	}
 	r.Header.Set(ViewerHeader, c.dataCentre)
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
 	response, err := c.http.Do(r)
 	if err != nil {
 		return answer{}, c.lost(ctx, sent.Load(), err)
@@ -176,11 +212,14 @@
 	if err != nil {
 		return answer{}, c.lost(ctx, true, err)
 	}
+	if tag != "" && response.StatusCode == http.StatusNotModified {
+		return answer{unchanged: true}, nil
+	}
 	if err := ErrorOf(response.StatusCode); err != nil {
 		return answer{}, errors.Wrapf(err, "answered status %d", response.StatusCode)
 	}
 	version, _ := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
-	return answer{body: content, version: version}, nil
+	return answer{body: content, version: version, tag: response.Header.Get("ETag")}, nil
 }
 
 // lost classifies a call without an answer. After a timeout the other open
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -22,6 +22,8 @@
 	Address string
 	// Service names the plain service; empty for an engine.
 	Service string
+	// Far says that the upstream is in another data centre and asked seldom.
+	Far bool
 }
 
 // Config sets how often upstreams are asked.
@@ -29,6 +31,9 @@
 	// LoadInterval is the mean time between two load requests to one engine.
 	// Shorter gives fresher beliefs and costs messages.
 	LoadInterval time.Duration
+	// FarInterval takes its place for upstreams of other data centres, which
+	// get work only when none is left here.
+	FarInterval time.Duration
 	// CacheInterval is the mean time between two requests for cache events.
 	CacheInterval time.Duration
 	// SweepInterval is the mean time between two looks at one engine's work
@@ -42,6 +47,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LoadInterval:  250 * time.Millisecond,
+		FarInterval:   time.Second,
 		CacheInterval: 500 * time.Millisecond,
 		SweepInterval: time.Second,
 		Timeout:       time.Second,
@@ -104,11 +110,18 @@
 func (p *Prober) start(t Target) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.running[t] = cancel
+	interval := p.cfg.LoadInterval
+	if t.Far {
+		interval = p.cfg.FarInterval
+	}
 	if t.Service != "" {
-		p.every(ctx, p.cfg.LoadInterval, func() { p.health(ctx, t) })
+		p.every(ctx, interval, func() { p.health(ctx, t) })
+		return
+	}
+	p.every(ctx, interval, func() { p.load(ctx, t) })
+	if t.Far {
 		return
 	}
-	p.every(ctx, p.cfg.LoadInterval, func() { p.load(ctx, t) })
 	cursor := uint64(0)
 	p.every(ctx, p.cfg.CacheInterval, func() { cursor = p.cache(ctx, t, cursor) })
 	p.every(ctx, p.cfg.SweepInterval, func() { p.sweep(ctx, t) })
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -63,6 +63,8 @@
 	Address string
 	// Service names the plain service; empty for an engine.
 	Service string
+	// Far says that the upstream is in another data centre.
+	Far bool
 }
 
 func (Work) effect()        {}
--- a/internal/router/hosts.go
+++ b/internal/router/hosts.go
@@ -77,7 +77,12 @@
 	targets := make([]Target, 0, len(c.upstreams))
 	for _, name := range sortedNames(c.upstreams) {
 		h := c.upstreams[name]
-		targets = append(targets, Target{Name: h.Name, Address: h.Address, Service: serviceOf(h)})
+		targets = append(targets, Target{
+			Name:    h.Name,
+			Address: h.Address,
+			Service: serviceOf(h),
+			Far:     h.DataCentre != c.cfg.Dispatch.DataCentre,
+		})
 	}
 	return targets
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutline/chestnutline/internal/finding"
 	"github.com/chestnutline/chestnutline/internal/platform"
@@ -130,7 +132,16 @@
 	if err != nil {
 		return refuse(c, err)
 	}
-	return c.JSON(http.StatusOK, hosts)
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		return errors.Wrap(err, "encode the list of hosts")
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSONBlob(http.StatusOK, body)
 }
 
 func (s *Server) setHosts(c echo.Context) error {
