Excuse a pause though messages come before the tick; keep nothing for hosts gone

A host that woke up to a message before its tick did not notice its own pause and called its suspects dead (test failed before). A queue for a host that is gone for good was never emptied, so its goroutine dialled for ever; what waits is now dropped after a failed attempt.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -31,7 +31,9 @@
 	cfg Config
 	rng *rand.Rand
 
-	now      time.Duration
+	now time.Duration
+	// tickedAt is when Tick was called last, never if ticked is false.
+	tickedAt time.Duration
 	ticked   bool
 	stopped  bool
 	self     wire.Member
@@ -178,11 +180,12 @@
 
 // excusePause starts all silence anew when this host was paused itself.
 func (c *Core) excusePause(now time.Duration) {
-	paused := now-c.now > c.cfg.MaxPause
-	if !paused && c.ticked {
+	paused := now-c.tickedAt > c.cfg.MaxPause
+	excused := paused || !c.ticked
+	c.ticked, c.tickedAt = true, now
+	if !excused {
 		return
 	}
-	c.ticked = true
 	for _, name := range c.names {
 		m := c.members[name]
 		m.heardAt = now
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -157,6 +157,27 @@
 	return effects
 }
 
+// TestPauseIsExcusedThoughMessagesComeFirst wakes a host up with a message
+// before its next tick. Its suspect must get time to deny.
+func TestPauseIsExcusedThoughMessagesComeFirst(t *testing.T) {
+	c := newCore(t)
+	suspect := wire.Member{Host: "host-2", DataCentre: "dc-0", Address: "127.0.0.2:3", Incarnation: 1, State: wire.Suspect}
+	c.Tick(time.Second)
+	c.merge(suspect)
+	wake := 30 * time.Second
+	c.Step(wake, Received{From: "127.0.0.2:1", Message: wire.SyncReply{Host: "host-9"}})
+	c.Tick(wake + time.Millisecond)
+	if got := c.members["host-2"].State; got != wire.Suspect {
+		t.Errorf("got %s, want still suspect", got)
+	}
+	for at := wake; at < wake+2*c.cfg.SuspicionTimeout; at += 100 * time.Millisecond {
+		c.Tick(at)
+	}
+	if got := c.members["host-2"].State; got != wire.Dead {
+		t.Errorf("got %s, want dead in the end", got)
+	}
+}
+
 func TestBadConfigurationIsRefusedWithEveryFinding(t *testing.T) {
 	findings := Config{}.Validate()
 	if len(findings) < 15 {
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -62,6 +62,7 @@
 		conn, err := o.dial()
 		if err != nil {
 			logevent.PeerDialFailed.Emit(o.t.logger, log.Fields{"address": o.to, "error": err.Error()})
+			o.drop()
 			if !o.pause(backoff) {
 				return
 			}
@@ -85,6 +86,20 @@
 	}
 }
 
+// drop empties the queue, so that what was meant for a host that is gone does
+// not keep this goroutine.
+func (o *outbound) drop() {
+	for {
+		select {
+		case <-o.queue:
+			o.unsent.Add(-1)
+			o.t.counts.dropped.Add(1)
+		default:
+			return
+		}
+	}
+}
+
 func (o *outbound) report(err error) {
 	if errors.Is(err, errSilent) {
 		o.t.counts.silences.Add(1)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -158,6 +158,18 @@
 	}, patience).Should(gomega.ContainElement("after"))
 }
 
+// TestNothingIsKeptForAHostThatIsGone sends to an address where nobody listens.
+func TestNothingIsKeptForAHostThatIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := listen(t, "127.0.0.1:0")
+	gone := l.Addr().String()
+	l.Close()
+	tr := newTransport(t, quickConfig("127.0.0.1:1"), nil, nil)
+	tr.Send(gone, wire.Heartbeat{Host: "a"})
+	g.Eventually(tr.Peers, patience).Should(gomega.BeEmpty())
+	g.Expect(tr.Counts().Dropped).To(gomega.Equal(uint64(1)))
+}
+
 func tryListen(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
