Tell lists of upstreams only when they changed

Every heartbeat carried the whole lists of suspect and leaving upstreams; with a hundred names that alone is above the traffic limit.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -20,7 +20,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/chestnutline/chestnutline/internal/wire"
@@ -68,8 +67,7 @@
 	version   uint64
 	loads     map[string]wire.UpstreamLoad
 	loadNames []string
-	suspected []string
-	leaving   []string
+	upstreams upstreams
 
 	effects []Effect
 }
@@ -239,60 +237,3 @@
 	c.version = version
 	c.push()
 }
-
-func (c *Core) setUpstreams(e UpstreamsChanged) {
-	suspected := boundedNames(e.Suspected)
-	leaving := boundedNames(e.Leaving)
-	if equalNames(suspected, c.suspected) && equalNames(leaving, c.leaving) {
-		return
-	}
-	untold := c.anyUntold(suspected, c.suspected) || c.anyUntold(leaving, c.leaving)
-	c.suspected, c.leaving = suspected, leaving
-	if untold {
-		c.broadcast()
-	}
-}
-
-// anyUntold tells whether a name is new here and no peer's digest has it, so
-// that a sign which all hosts see is not broadcast by all of them.
-func (c *Core) anyUntold(names, before []string) bool {
-	for _, name := range names {
-		if !containsName(before, name) && !c.told(name) {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Core) told(upstream string) bool {
-	for _, m := range c.peers() {
-		if containsName(m.suspected, upstream) || containsName(m.leaving, upstream) {
-			return true
-		}
-	}
-	return false
-}
-
-func boundedNames(names []string) []string {
-	sorted := append([]string(nil), names...)
-	sort.Strings(sorted)
-	return sorted[:min(len(sorted), wire.MaxUpstreams)]
-}
-
-func equalNames(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// containsName searches a sorted list.
-func containsName(sorted []string, name string) bool {
-	i := sort.SearchStrings(sorted, name)
-	return i < len(sorted) && sorted[i] == name
-}
--- a/internal/membership/experiment/digest_test.go
+++ b/internal/membership/experiment/digest_test.go
@@ -162,3 +162,23 @@
 	f.Run(20 * time.Second)
 	return log
 }
+
+// TestLongListsAreNotRepeated shows a hundred leaving upstreams to all hosts.
+func TestLongListsAreNotRepeated(t *testing.T) {
+	const limit = 3000
+	f := newFleet(t, 30, 1, Chosen())
+	within(t, f, settling, "start", f.Agree)
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("engine-%03d", i))
+	}
+	for _, node := range f.Up() {
+		f.Step(node, membership.UpstreamsChanged{Leaving: names})
+	}
+	r := &run{Fleet: f, o: Options{Hosts: 30, Quiet: 25 * time.Second}, rng: f.rng}
+	r.quiet()
+	t.Logf("mean %.0f, max %.0f bytes a second", r.result.BytesMean, r.result.BytesMax)
+	if r.result.BytesMax >= limit {
+		t.Errorf("%.0f bytes a second, want less than %d", r.result.BytesMax, limit)
+	}
+}
--- a/internal/membership/experiment/table_test.go
+++ b/internal/membership/experiment/table_test.go
@@ -41,6 +41,9 @@
 			if p.flat {
 				o.DataCentres = 1
 			}
+			if p.name == "fixed" && s.hosts > 200 {
+				o.Brief, o.Quiet = true, 3*time.Second
+			}
 			if p.loads {
 				o.Upstreams, o.InFlight = s.upstreams, s.inFlight
 			}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -39,7 +39,7 @@
 	own := m.DataCentre == c.self.DataCentre
 	if own {
 		h.Loads = c.loadsDue(m)
-		h.Suspected, h.Leaving = c.suspected, c.leaving
+		c.listFor(m, &h)
 		h.Contacts = c.contacts()
 	}
 	if !m.met {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -33,8 +33,9 @@
 	// loadsAt is when the last heartbeat with loads was sent to the host.
 	loadsAt time.Duration
 	// sent holds the loads last told to the host.
-	sent map[string]toldLoad
-	// suspected and leaving are the upstreams of its last digest, sorted.
+	sent    map[string]toldLoad
+	listing listing
+	// suspected and leaving are the upstreams of its last lists, sorted.
 	suspected []string
 	leaving   []string
 	// shown is what the caller was told last.
@@ -117,7 +118,7 @@
 	m.met = false
 	m.introducedAt = 0
 	m.sent, m.loadsAt, m.tableHash = nil, 0, 0
-	m.suspected, m.leaving = nil, nil
+	m.suspected, m.leaving, m.listing = nil, nil, listing{}
 }
 
 // changed notes that the table is different and passes the account on.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -61,7 +61,9 @@
 		c.contacted(contact.DataCentre, c.now-time.Duration(contact.AgeMillis)*time.Millisecond)
 	}
 	m.tableHash = h.TableHash
-	m.suspected, m.leaving = h.Suspected, h.Leaving
+	if h.Listing {
+		m.suspected, m.leaving = h.Suspected, h.Leaving
+	}
 	c.emitDigest(m, h)
 	c.answer(m, h)
 	c.compareTables(m, h.TableHash)
@@ -140,7 +142,7 @@
 		Incarnation:   h.Incarnation,
 		ConfigVersion: h.ConfigVersion,
 		Loads:         h.Loads,
-		Suspected:     h.Suspected,
-		Leaving:       h.Leaving,
+		Suspected:     m.suspected,
+		Leaving:       m.leaving,
 	})
 }
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -64,6 +64,7 @@
 		ConfigVersion: d.uint(math.MaxUint64),
 		Members:       decodeList(d, MaxMembers, d.member),
 		Loads:         decodeList(d, MaxLoads, d.load),
+		Listing:       d.bool(),
 		Suspected:     decodeList(d, MaxUpstreams, d.string),
 		Leaving:       decodeList(d, MaxUpstreams, d.string),
 		Contacts:      decodeList(d, MaxDataCentres, d.contact),
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -47,6 +47,7 @@
 	e.uint(h.ConfigVersion)
 	encodeList(e, h.Members, e.member)
 	encodeList(e, h.Loads, e.load)
+	e.bool(h.Listing)
 	encodeList(e, h.Suspected, e.string)
 	encodeList(e, h.Leaving, e.string)
 	encodeList(e, h.Contacts, e.contact)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -130,7 +130,9 @@
 	// Loads are the sender's loads that changed most since its last heartbeat
 	// to the same host. Empty between data centres.
 	Loads []UpstreamLoad
-	// Suspected and Leaving are the upstreams of which the sender believes so.
+	// Listing says that Suspected and Leaving are the sender's whole lists of
+	// upstreams of which it believes so; otherwise they are as told before.
+	Listing   bool
 	Suspected []string
 	Leaving   []string
 	// Contacts are the data centres that the sender hears from itself.
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -23,8 +23,8 @@
 }
 
 func heartbeatSize(h Heartbeat) int {
-	const stateAndProbe = 2
-	size := stateAndProbe + stringSize(h.Host)
+	const stateProbeListing = 3
+	size := stateProbeListing + stringSize(h.Host)
 	size += uintSize(h.Incarnation) + uintSize(uint64(h.Refutation))
 	size += uintSize(uint64(h.TableHash)) + uintSize(h.ConfigVersion)
 	size += listSize(h.Members, memberSize) + listSize(h.Loads, loadSize)
