--- a/internal/membership/experiment/fleet_test.go
+++ b/internal/membership/experiment/fleet_test.go
@@ -28,30 +28,25 @@
 	return took
 }
 
-func TestFleetAgreesAfterJoin(t *testing.T) {
+// TestFleetAgreesAndFindsADeath starts fleets, checks that they stay in
+// agreement below the traffic limit, and kills one host.
+func TestFleetAgreesAndFindsADeath(t *testing.T) {
+	const limit = 3000
 	for _, size := range []struct{ hosts, dataCentres int }{{8, 3}, {30, 1}, {120, 4}} {
-		f := newFleet(t, size.hosts, size.dataCentres, membership.DefaultConfig())
-		took := within(t, f, 60*time.Second, "join", f.Agree)
-		t.Logf("%d hosts: agreed after %v", size.hosts, took)
-		for _, n := range f.Nodes() {
-			n.Sent, n.Received = 0, 0
+		f := newFleet(t, size.hosts, size.dataCentres, Chosen())
+		took := within(t, f, time.Minute, "start", f.Agree)
+		r := &run{Fleet: f, o: Options{Hosts: size.hosts, Quiet: 20 * time.Second}, rng: f.rng}
+		r.quiet()
+		if !f.Agree() || r.result.FalseAlarms != 0 || r.result.BytesMax >= limit {
+			t.Errorf("%d hosts: agree %v, %d false alarms, %.0f bytes a second", size.hosts, f.Agree(), r.result.FalseAlarms, r.result.BytesMax)
 		}
-		f.Run(60 * time.Second)
-		most, sum := 0, 0
-		for _, n := range f.Nodes() {
-			most = max(most, n.Sent+n.Received)
-			sum += n.Sent + n.Received
-		}
-		t.Logf("bytes/s mean %d max %d", sum/60/size.hosts, most/60)
-		if !f.Agree() {
-			t.Error("no longer agree")
-		}
-		f.Nodes()[2].Down = true
-		own := within(t, f, 60*time.Second, "death", func() bool {
-			holds, all := f.Shown("host-002", f.Nodes()[2].Host.DataCentre, isDead)
+		dead := f.Nodes()[2]
+		dead.Down = true
+		inside := within(t, f, settling, "death", func() bool {
+			holds, all := f.Shown(dead.Host.Name, dead.Host.DataCentre, isDead)
 			return holds == all
 		})
-		all := within(t, f, 60*time.Second, "death everywhere", f.Agree)
-		t.Logf("detected after %v, everywhere %v later", own, all)
+		everywhere := within(t, f, settling, "death everywhere", f.Agree)
+		t.Logf("%d hosts: start %v, death %v, everywhere %v later", size.hosts, took, inside, everywhere)
 	}
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -7,8 +7,12 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// forgetInterval is how often members are looked through for old ones.
-const forgetInterval = time.Second
+const (
+	// forgetInterval is how often members are looked through for old ones.
+	forgetInterval = time.Second
+	// maxMembers bounds the members known, dead ones included.
+	maxMembers = 4096
+)
 
 // member is what this host knows of another one.
 type member struct {
@@ -98,7 +102,7 @@
 
 // meet adds a host. One that is dead already is not worth knowing.
 func (c *Core) meet(u wire.Member) *member {
-	if u.State == wire.Dead {
+	if u.State == wire.Dead || len(c.names) >= maxMembers {
 		return nil
 	}
 	m := &member{Member: u, changedAt: c.now}
