--- a/internal/configuration/experiment/experiment.go
+++ b/internal/configuration/experiment/experiment.go
@@ -56,13 +56,22 @@
 	New func(c configuration.Config) Follower
 }
 
+// Shape of a fleet by its size.
+const (
+	minDataCentres     = 3
+	maxDataCentres     = 16
+	hostsPerDataCentre = 30
+	// organisationsPerHost gives 4,200 organisations to 470 hosts.
+	organisationsPerHost = 9
+)
+
 // Defaults returns the options for a number of hosts: three data centres for
 // small fleets and up to sixteen, one host in three replaced.
 func Defaults(hosts int, seed uint64) Options {
 	return Options{
 		Hosts:         hosts,
-		DataCentres:   min(16, max(3, hosts/30)),
-		Organisations: 9 * hosts,
+		DataCentres:   min(maxDataCentres, max(minDataCentres, (hosts+hostsPerDataCentre-1)/hostsPerDataCentre)),
+		Organisations: organisationsPerHost * hosts,
 		Seed:          seed,
 		Length:        60 * time.Second,
 		Settle:        10 * time.Second,
--- a/internal/configuration/experiment/measure_test.go
+++ b/internal/configuration/experiment/measure_test.go
@@ -16,6 +16,7 @@
 	seedFlag    = flag.Uint64("seed", 1, "seed of a long run")
 	lengthFlag  = flag.Duration("length", time.Minute, "virtual time of a long run")
 	changesFlag = flag.Int("changes", 10, "accepted changes in a long run")
+	digestFlag  = flag.Duration("digest", time.Second, "time between two digests of a host in a long run")
 	naiveFlag   = flag.Bool("naive", false, "let every host watch")
 )
 
@@ -24,7 +25,7 @@
 		return
 	}
 	o := Defaults(*hostsFlag, *seedFlag)
-	o.Length, o.Changes = *lengthFlag, *changesFlag
+	o.Length, o.Changes, o.DigestEvery = *lengthFlag, *changesFlag, *digestFlag
 	if *naiveFlag {
 		o.New = func(c configuration.Config) Follower {
 			c.Watchers = o.Hosts
