--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -28,6 +28,10 @@
 	// that it has answered since.
 	introducedAt time.Duration
 	met          bool
+	// tableHash is of its last heartbeat.
+	tableHash uint32
+	// loadsAt is when the last heartbeat with loads was sent to the host.
+	loadsAt time.Duration
 	// sent holds the loads last told to the host.
 	sent map[string]toldLoad
 	// suspected and leaving are the upstreams of its last digest, sorted.
@@ -59,7 +63,8 @@
 }
 
 // merge takes another host's account of a member and returns the member, or
-// nil if it is this host or unknown.
+// nil if it is this host or unknown. A suspicion is for the member's own data
+// centre to settle, so others leave it aside.
 func (c *Core) merge(u wire.Member) *member {
 	if u.Host == c.self.Host {
 		c.deny(u)
@@ -68,6 +73,9 @@
 	if u.Host == "" || u.DataCentre == "" || u.Address == "" {
 		return nil
 	}
+	if u.State == wire.Suspect && u.DataCentre != c.self.DataCentre {
+		u.State = wire.Alive
+	}
 	m := c.members[u.Host]
 	if m == nil {
 		return c.meet(u)
@@ -108,7 +116,7 @@
 	m.heardAt = now
 	m.met = false
 	m.introducedAt = 0
-	m.sent = nil
+	m.sent, m.loadsAt, m.tableHash = nil, 0, 0
 	m.suspected, m.leaving = nil, nil
 }
 
--- a/internal/wire/size.go
+++ b/internal/wire/size.go
@@ -14,6 +14,10 @@
 		size += stringSize(m.Host) + listSize(m.Sections, sectionSize)
 	case Carried:
 		size += stringSize(m.Host) + uintSize(uint64(m.Topic)) + stringSize(string(m.Body))
+	case SyncOffer:
+		size += entriesSize(m.Host, m.DataCentre, m.Entries)
+	case SyncWant:
+		size += entriesSize(m.Host, m.DataCentre, m.Entries)
 	case SyncReply:
 		size += stringSize(m.Host) + listSize(m.Members, memberSize)
 	}
@@ -30,6 +34,11 @@
 	return size + listSize(h.Contacts, contactSize)
 }
 
+func entriesSize(host, dataCentre string, entries []uint32) int {
+	entrySize := func(entry uint32) int { return uintSize(uint64(entry)) }
+	return stringSize(host) + stringSize(dataCentre) + listSize(entries, entrySize)
+}
+
 func memberSize(m Member) int {
 	size := stringSize(m.Host) + stringSize(m.DataCentre) + stringSize(m.Address)
 	return size + uintSize(m.Incarnation) + uintSize(uint64(m.Refutation)) + uintSize(uint64(m.State))
@@ -37,6 +46,7 @@
 
 func loadSize(l UpstreamLoad) int {
 	size := stringSize(l.Upstream) + uintSize(uint64(l.Requests))
+	size += uintSize(uint64(l.LongTokens))
 	return size + uintSize(uint64(l.PrefillTokens)) + uintSize(uint64(l.MemoryTokens))
 }
 
@@ -45,7 +55,7 @@
 }
 
 func sectionSize(s Section) int {
-	return stringSize(s.DataCentre) + uintSize(uint64(s.Hash))
+	return stringSize(s.DataCentre) + uintSize(uint64(s.Hash)) + uintSize(s.Weight)
 }
 
 func stringSize(s string) int {
