--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/callers"
 	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/configuration/source"
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/membership"
@@ -96,16 +97,11 @@
 	if p.source.Do(effect) {
 		return
 	}
-	switch f := effect.(type) {
-	case configuration.Apply:
+	source.Log(p.log, effect)
+	if f, ok := effect.(configuration.Apply); ok {
 		cfg := f.Configuration
 		p.catalogue.Store(callers.NewCatalogue(f.Version, &cfg))
 		p.metrics.Gauge("configuration_version", float64(f.Version))
-		logevent.ConfigurationInUse.Emit(p.log, log.Fields{"version": f.Version})
-	case configuration.Report:
-		logevent.ConfigurationTrails.Emit(p.log, log.Fields{
-			"kind": f.Kind, "version": f.Version, "host": f.Host, "detail": f.Detail,
-		})
 	}
 }
 
--- a/internal/logevent/router.go
+++ b/internal/logevent/router.go
@@ -4,14 +4,12 @@
 
 // Events of the router, 1000 to 1999.
 var (
-	RequestRefused      = declare(1001, log.InfoLevel, "request refused", "A request was not admitted; the code says why. Many of code overloaded mean that the data centre lacks capacity.")
-	RequestFailed       = declare(1002, log.WarnLevel, "request failed", "An admitted request ended without an answer; code and outcome say what is known. Look at the upstream named in the account of the request.")
-	RequestRetried      = declare(1003, log.InfoLevel, "request retried", "An attempt failed and another one was sent.")
-	ConfigurationInUse  = declare(1010, log.InfoLevel, "configuration in force", "This host now serves by the version given.")
-	ConfigurationTrails = declare(1011, log.WarnLevel, "configuration report", "The spreading of the configuration met a condition worth knowing; detail names it.")
-	HostListFailed      = declare(1020, log.WarnLevel, "host list not read", "The platform's list of hosts could not be read; the host goes on with the last one.")
-	MemberNoted         = declare(1030, log.InfoLevel, "member changed", "What is believed of another host changed.")
-	MemberSuperseded    = declare(1031, log.ErrorLevel, "host superseded", "Another process with this host's name and a later start is alive; this one stops. Give every host its own name.")
-	DrainLimitReached   = declare(1040, log.ErrorLevel, "drain limit reached", "The host stopped while requests were still in flight, since the drain limit had passed.")
-	ClaimKept           = declare(1050, log.WarnLevel, "claim kept", "An action was not run, but its idempotency key could not be given back; repeated requests with it learn that the outcome is unknown.")
+	RequestRefused    = declare(1001, log.InfoLevel, "request refused", "A request was not admitted; the code says why. Many of code overloaded mean that the data centre lacks capacity.")
+	RequestFailed     = declare(1002, log.WarnLevel, "request failed", "An admitted request ended without an answer; code and outcome say what is known. Look at the upstream named in the account of the request.")
+	RequestRetried    = declare(1003, log.InfoLevel, "request retried", "An attempt failed and another one was sent.")
+	HostListFailed    = declare(1020, log.WarnLevel, "host list not read", "The platform's list of hosts could not be read; the host goes on with the last one.")
+	MemberNoted       = declare(1030, log.InfoLevel, "member changed", "What is believed of another host changed.")
+	MemberSuperseded  = declare(1031, log.ErrorLevel, "host superseded", "Another process with this host's name and a later start is alive; this one stops. Give every host its own name.")
+	DrainLimitReached = declare(1040, log.ErrorLevel, "drain limit reached", "The host stopped while requests were still in flight, since the drain limit had passed.")
+	ClaimKept         = declare(1050, log.WarnLevel, "claim kept", "An action was not run, but its idempotency key could not be given back; repeated requests with it learn that the outcome is unknown.")
 )
