--- a/cmd/chestnutctl/process_test.go
+++ b/cmd/chestnutctl/process_test.go
@@ -166,6 +166,21 @@
 	store.SetFaults(stand.Faults{})
 }
 
+// inspect asks the real hosts for what the other commands show.
+func (s *system) inspect() {
+	s.t.Helper()
+	admins := s.admins(s.routers...)
+	code, out, text := run("status", "--platform", s.url, "--admin", admins, "--json")
+	expect(s.t, code, exitDone, out+text, `"in_force_everywhere": true`, `"data_centre": "lima-c"`)
+	code, out, text = run("dump", "--admin", admins)
+	var dumps []operate.HostDump
+	if err := json.Unmarshal([]byte(out), &dumps); err != nil || code != exitDone || len(dumps) != len(s.routers) {
+		s.t.Errorf("exit code %d, %v, %d dumps: %s", code, err, len(dumps), text)
+	}
+	code, out, text = run("account", "no-such-request", "--admin", admins)
+	expect(s.t, code, exitFailed, out+text, "no host that answered remembers", "next:")
+}
+
 // TestAcceptedConfigurationOnRealProcesses kills one host in three, loses
 // answers of the object API, silences its watches and takes it away, while
 // versions are accepted; no host ever goes back.
@@ -194,6 +209,7 @@
 
 	s.silenceWatches()
 	s.accept(4, 3, s.routers...)
+	s.inspect()
 	stats := store.Stats()
 	t.Logf("%d objects, calls %v in %.0f s", stats.Objects, stats.Calls, stats.Seconds)
 }
