--- a/internal/configuration/registry/registry_test.go
+++ b/internal/configuration/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"reflect"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/chestnutline/chestnutline/internal/configuration"
 	"github.com/chestnutline/chestnutline/internal/finding"
 	"github.com/chestnutline/chestnutline/internal/platform"
+	stand "github.com/chestnutline/chestnutline/internal/standin/platform"
 )
 
 func declared(organisations, share int) intent.Configuration {
@@ -266,9 +268,8 @@
 
 type submitter func(ctx context.Context, s platform.Store, c intent.Configuration, base uint64, author, note string) (configuration.Change, error)
 
-// race lets operators submit and read at once over an object API that loses
-// answers, and returns the history.
-func race(seed uint64, submit submitter) []porcupine.Operation {
+// faulty returns an object API in memory that is slow and loses answers.
+func faulty(seed uint64) *memory {
 	store := newMemory()
 	chance := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
@@ -285,6 +286,13 @@
 		}
 		return nil, true
 	}
+	return store
+}
+
+// race lets operators submit and read at once over an object API that loses
+// answers, and returns the history.
+func race(store platform.Store, submit submitter) []porcupine.Operation {
+	var mu sync.Mutex
 	var history []porcupine.Operation
 	start := time.Now()
 	var operators sync.WaitGroup
@@ -338,7 +346,7 @@
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
 			all++
-			if porcupine.CheckOperations(acceptance, race(seed, submit)) {
+			if porcupine.CheckOperations(acceptance, race(faulty(seed), submit)) {
 				linearizable++
 			}
 		})
@@ -352,6 +360,31 @@
 	}
 }
 
+// TestRacingOperatorsOverHTTP does the same through the HTTP client and the
+// stand-in of the platform, which drops connections.
+func TestRacingOperatorsOverHTTP(t *testing.T) {
+	for seed := range uint64(3) {
+		server := stand.New(stand.DefaultConfig())
+		server.Store().SetFaults(stand.Faults{LoseAnswerProbability: 0.2, LoseRequestProbability: 0.1, Seed: seed})
+		h := httptest.NewServer(server.Handler())
+		client, err := platform.NewClient(platform.ClientConfig{BaseURL: h.URL})
+		if err != nil {
+			t.Fatal(err)
+		}
+		history := race(client, Submit)
+		client.Close()
+		h.Close()
+		stats := server.Store().Stats()
+		t.Logf("seed %d: %d operations, calls %v, %d answers lost", seed, len(history), stats.Calls, stats.Lost)
+		if !porcupine.CheckOperations(acceptance, history) {
+			t.Errorf("seed %d: the history is not linearizable", seed)
+		}
+		if m, _, err := ReadManifest(t.Context(), server.Store().From("")); err != nil || m.Change.Version == 0 {
+			t.Errorf("seed %d: nothing was accepted: %v", seed, err)
+		}
+	}
+}
+
 func TestNaiveSubmissionIsNotLinearizable(t *testing.T) {
 	if good, all := histories(t, naiveSubmit); good == all {
 		t.Errorf("the check passes the naive submission on all %d seeds", all)
