--- a/internal/claim/experiment/host.go
+++ b/internal/claim/experiment/host.go
@@ -86,6 +86,7 @@
 		a.outcome = shard.Outcome{Status: 200, Body: make([]byte, max(8, w.config.BodyBytes))}
 		binary.BigEndian.PutUint64(a.outcome.Body, w.attempts)
 		h.attempts[a.token] = a
+		w.callers[a.token] = h
 		a.record = w.history.call(w, a, OpClaim)
 		h.send(a, shard.Claim{
 			ID: idOf(key), Token: a.token, Fingerprint: key,
@@ -171,16 +172,18 @@
 // reply takes an answer to the host where the caller is.
 func (h *host) reply(token shard.Token, f func(*attempt)) {
 	w := h.world
-	for _, caller := range w.hosts {
-		a, ok := caller.attempts[token]
-		if !ok {
-			continue
-		}
-		if caller == h {
+	caller, ok := w.callers[token]
+	if !ok {
+		return
+	}
+	deliver := caller.alive(func() {
+		if a, ok := caller.attempts[token]; ok {
 			f(a)
-			return
 		}
-		w.after(w.config.Hop, caller.alive(func() { f(a) }))
+	})
+	if caller == h {
+		deliver()
 		return
 	}
+	w.after(w.config.Hop, deliver)
 }
--- a/internal/claim/experiment/world.go
+++ b/internal/claim/experiment/world.go
@@ -21,6 +21,7 @@
 	store    *store
 	hosts    []*host
 	attempts uint64
+	callers  map[shard.Token]*host
 	history  history
 	counts   map[shard.Decision]int
 	waits    []time.Duration
@@ -43,9 +44,10 @@
 		config.NewEngine = func(c shard.Config) Engine { return shard.New(c) }
 	}
 	w := &World{
-		config: config,
-		random: rand.New(rand.NewPCG(config.Seed, 1)),
-		counts: make(map[shard.Decision]int),
+		config:  config,
+		random:  rand.New(rand.NewPCG(config.Seed, 1)),
+		counts:  make(map[shard.Decision]int),
+		callers: make(map[shard.Token]*host),
 	}
 	w.store = &store{
 		world:   w,
