Let claims go through a shard's owner in the core and its runs

Cause: at the aim's size only one writer per shard fits the store's rate. Change: Claim.Forwarded, with which a core never gives back a claim that another host may hold; forwarding, wrong owners and lost messages in the simulated runs.

--- a/internal/claim/experiment/attempt.go
+++ b/internal/claim/experiment/attempt.go
@@ -8,13 +8,16 @@
 // an event of its own, so that a kill or a pause may come between any two.
 func (a *attempt) answered(e shard.Answer) {
 	w := a.host.world
-	if a.record == nil {
+	if a.record == nil || a.record.Kind != OpClaim {
+		a.late(e)
 		return
 	}
 	w.counts[e.Decision]++
 	w.history.end(w, a.record, e.Decision, e.Outcome)
 	a.record = nil
-	if e.Decision != shard.Granted {
+	a.settled = e.Decision != shard.Refused
+	a.granted = e.Decision == shard.Granted
+	if !a.granted {
 		return
 	}
 	w.waits = append(w.waits, w.now-a.asked)
@@ -26,6 +29,14 @@
 	w.after(step, a.host.alive(a.run))
 }
 
+// late gives back a grant that nobody waits for any more, unless the attempt
+// was granted before by another way.
+func (a *attempt) late(e shard.Answer) {
+	if e.Decision == shard.Granted && !a.granted {
+		a.host.local(a, shard.Abandon{ID: idOf(a.key), Token: a.token})
+	}
+}
+
 // leave ends an attempt whose caller went before the answer came.
 func (a *attempt) leave() {
 	w := a.host.world
@@ -35,7 +46,21 @@
 	w.counts[shard.Refused]++
 	w.history.end(w, a.record, shard.Refused, shard.Outcome{})
 	a.record = nil
-	a.host.send(a, shard.Abandon{ID: idOf(a.key), Token: a.token})
+	if !w.config.Owners {
+		a.host.local(a, shard.Abandon{ID: idOf(a.key), Token: a.token})
+	}
+}
+
+// unanswered goes on without the owner that a message was sent to.
+func (a *attempt) unanswered(record *Record, e shard.Event) {
+	_, isClaim := e.(shard.Claim)
+	switch {
+	case isClaim && !a.settled:
+		a.leave()
+		a.host.local(a, shard.Abandon{ID: idOf(a.key), Token: a.token})
+	case !isClaim && a.record == record && record.Return == 0:
+		a.host.local(a, e)
+	}
 }
 
 // run sends the action upstream. Once sent it is carried out whatever becomes
--- a/internal/claim/experiment/config.go
+++ b/internal/claim/experiment/config.go
@@ -43,8 +43,10 @@
 	// every host write.
 	Owners bool
 	Hop    time.Duration
-	Store  StoreConfig
-	Faults Faults
+	// MisrouteShare is the share of messages to a host that is not the owner.
+	MisrouteShare float64
+	Store         StoreConfig
+	Faults        Faults
 	// Core is the template of every core's configuration.
 	Core shard.Config
 	// NewEngine replaces shard.New in differential runs.
@@ -73,6 +75,8 @@
 	// Late is the probability that a request or an answer takes up to LateTime longer.
 	Late     float64
 	LateTime time.Duration
+	// LoseHop is per message between hosts; LateTime delays them as well.
+	LoseHop float64
 	// DownEvery and DownFor give outages of the store.
 	DownEvery time.Duration
 	DownFor   time.Duration
--- a/internal/claim/experiment/host.go
+++ b/internal/claim/experiment/host.go
@@ -40,6 +40,9 @@
 	asked   time.Duration
 	outcome shard.Outcome
 	record  *Record // of the call in progress
+	// settled says that the claim was answered for certain, granted how.
+	settled bool
+	granted bool
 }
 
 func newHost(w *World, index int) *host {
@@ -106,19 +109,57 @@
 }
 
 // send hands an event to the core that serves the key, on this host or on the
-// shard's owner.
+// shard's owner. Without an answer in time this host goes on by itself.
 func (h *host) send(a *attempt, e shard.Event) {
 	w := h.world
-	window := uint64(a.date / w.config.WindowLength)
+	window, n := w.place(a)
+	owner := w.ownerOf(h, n)
+	if owner == h {
+		h.step(h.engine(window, n), e)
+		return
+	}
+	forwarded := e
+	if c, ok := e.(shard.Claim); ok {
+		c.Forwarded = true
+		forwarded = c
+	}
+	w.hop(owner, func() { owner.step(owner.engine(window, n), forwarded) })
+	record := a.record
+	w.after(w.config.Patience, h.alive(func() { a.unanswered(record, e) }))
+}
+
+// local hands an event to this host's own core.
+func (h *host) local(a *attempt, e shard.Event) {
+	window, n := h.world.place(a)
+	h.step(h.engine(window, n), e)
+}
+
+func (w *World) place(a *attempt) (window uint64, n int) {
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], a.key)
-	n := int(xxhash.Sum64(b[:]) % uint64(w.config.Shards))
-	if !w.config.Owners {
-		h.step(h.engine(window, n), e)
+	return uint64(a.date / w.config.WindowLength), int(xxhash.Sum64(b[:]) % uint64(w.config.Shards))
+}
+
+func (w *World) ownerOf(h *host, n int) *host {
+	switch {
+	case !w.config.Owners:
+		return h
+	case w.chance(w.config.MisrouteShare):
+		return w.anyHost()
+	}
+	return w.hosts[n%len(w.hosts)]
+}
+
+// hop carries a message to another host.
+func (w *World) hop(to *host, f func()) {
+	if w.chance(w.config.Faults.LoseHop) {
 		return
 	}
-	owner := w.hosts[n%len(w.hosts)]
-	w.after(w.config.Hop, owner.alive(func() { owner.step(owner.engine(window, n), e) }))
+	d := w.config.Hop
+	if w.chance(w.config.Faults.Late) {
+		d += w.upTo(w.config.Faults.LateTime)
+	}
+	w.after(d, to.alive(f))
 }
 
 func (h *host) engine(window uint64, n int) *engine {
@@ -176,14 +217,14 @@
 	if !ok {
 		return
 	}
-	deliver := caller.alive(func() {
+	deliver := func() {
 		if a, ok := caller.attempts[token]; ok {
 			f(a)
 		}
-	})
+	}
 	if caller == h {
 		deliver()
 		return
 	}
-	w.after(w.config.Hop, deliver)
+	w.hop(caller, deliver)
 }
--- a/internal/claim/experiment/once_test.go
+++ b/internal/claim/experiment/once_test.go
@@ -117,6 +117,27 @@
 	}
 }
 
+// TestOwnersUnderFaults forwards claims to hosts that may be the wrong ones,
+// die, pause or not answer.
+func TestOwnersUnderFaults(t *testing.T) {
+	granted := 0
+	for seed := range uint64(40) {
+		c := hostile(seed)
+		c.Owners = true
+		c.MisrouteShare = 0.2
+		c.Faults.LoseHop = 0.1
+		w := Run(c)
+		for _, v := range Violations(w.History(), w.Executions()) {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		granted += w.counts[shard.Granted]
+	}
+	t.Logf("%d granted", granted)
+	if granted == 0 {
+		t.Error("nothing was granted")
+	}
+}
+
 // TestRingOfWindowsUnderFaults has a ring of three short windows, so that
 // repeats come while their window's objects are used anew.
 func TestRingOfWindowsUnderFaults(t *testing.T) {
--- a/internal/claim/shard/core.go
+++ b/internal/claim/shard/core.go
@@ -5,7 +5,8 @@
 //
 // The caller's contract: every Read and Write effect is carried out and its
 // result fed back; a write's result is Unknown unless it is proven; tokens are
-// never reused; Complete and GiveBack follow only a Granted answer, GiveBack
+// reused only for the same attempt through another host's Core (Forwarded);
+// Complete and GiveBack follow only a Granted answer, GiveBack
 // only with proof that nothing was run. Any number of Cores on any hosts may
 // serve the same object. No promise depends on clocks: a Core that is paused
 // for any time, or lost, leaves claims that nobody takes over.
--- a/internal/claim/shard/message.go
+++ b/internal/claim/shard/message.go
@@ -18,6 +18,9 @@
 	Wall     int64
 	// Expires is when the caller stops waiting for an answer.
 	Expires time.Duration
+	// Forwarded says that the claim belongs to another host. This Core never
+	// gives it back on its own: the other host may hold the grant.
+	Forwarded bool
 }
 
 // Complete records the outcome of a granted claim.
--- a/internal/claim/shard/plan.go
+++ b/internal/claim/shard/plan.go
@@ -151,6 +151,9 @@
 func (c *Core) planComplete(p *plan, o *op) {
 	held, ok := p.next.get(o.id)
 	switch {
+	case (!ok || held.Token != o.token) && o.seq > c.fresh:
+		// Another host's Core may have stored the claim since.
+		p.stale = true
 	case c.unreadable || c.superseded || !ok || held.Token != o.token:
 		// The claim was granted, so it was stored; it is gone with its window.
 		c.record(o, true)
@@ -180,6 +183,8 @@
 		// anything on the same base rules that out.
 		p.changed = true
 		p.ride(o, Answer{})
+	case (!ok || held.Token != o.token) && o.seq > c.fresh:
+		p.stale = true
 	default:
 		c.record(o, false)
 	}
--- a/internal/claim/shard/result.go
+++ b/internal/claim/shard/result.go
@@ -96,7 +96,7 @@
 		return
 	}
 	o.kind = giveBackOp
-	o.settled = o.answer.Decision != Granted
+	o.settled = o.answer.Decision != Granted || o.claim.Forwarded
 }
 
 // land takes the ops off a write that certainly had no effect.
@@ -168,7 +168,7 @@
 		c.emit(Answer{Token: o.token, Decision: Refused, RetryAfter: c.retryAfter(now)})
 	}
 	o.answered = true
-	o.settled = !o.inWrite && !o.mayBeStored
+	o.settled = !o.inWrite && (!o.mayBeStored || o.claim.Forwarded)
 }
 
 func (c *Core) answer(o *op, a Answer) {
