Forward claims to the host that writes their shard

Cause: without one writer per shard, hosts' conditional writes collide. Ruled out: a fallback to an own write after a lost answer (the owner may still store the same token after it was given back); only a request that provably was not sent is made here instead, otherwise the caller is refused and the claim is given back from here. Change: Peers (to be implemented over the hosts' own protocol), Claimer.Serve, OwnerOf, Config.Peers and AvoidOwner. Conclusion: go test -race -count=30 ./internal/claim passes, with wrong owners and lost messages; no transport implements Peers yet.

--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutline/chestnutline/internal/claim/shard"
+	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/platform"
 )
 
@@ -71,6 +72,10 @@
 	closed  bool
 	workers map[string]*worker
 	swept   time.Duration
+	stopped bool
+	// avoided says until when an owner is not asked.
+	avoided  map[string]time.Duration
+	inFlight atomic.Int64 // messages to owners
 }
 
 // New returns a Claimer, or an error naming every problem of the configuration.
@@ -92,6 +97,7 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		workers:     make(map[string]*worker),
+		avoided:     make(map[string]time.Duration),
 	}, nil
 }
 
@@ -115,12 +121,16 @@
 	if err != nil {
 		return c.refused()
 	}
+	return c.ask(ctx, w, key, c.claimOf(key, fingerprint, limit, now, patience))
+}
+
+func (c *Claimer) claimOf(key Key, fingerprint uint64, limit, now time.Time, patience time.Duration) shard.Claim {
 	token := Token{Incarnation: c.incarnation, Attempt: c.attempts.Add(1)}
-	return w.claim(ctx, shard.Claim{
+	return shard.Claim{
 		ID: key.id, Token: token, Fingerprint: fingerprint,
 		Date: keyDate(key, now), Deadline: limit.Unix(), Wall: now.Unix(),
 		Expires: c.now() + patience,
-	})
+	}
 }
 
 func (c *Claimer) refused() Answer {
@@ -153,8 +163,15 @@
 // Complete records the outcome of a granted claim. It returns at once; the
 // record is written with the next batch, and again until the store has it.
 func (c *Claimer) Complete(key Key, token Token, outcome Outcome) {
-	if w, err := c.grantedWorker(key); err == nil {
-		w.step(shard.Complete{ID: key.id, Token: token, Outcome: outcome})
+	w, err := c.grantedWorker(key)
+	if err != nil {
+		logevent.OutcomeNotRecorded.Emit(c.logger, log.Fields{"object": ""})
+		return
+	}
+	e := shard.Complete{ID: key.id, Token: token, Outcome: outcome}
+	address := c.owner(w.object)
+	if address == "" || !c.background(func() { c.forwardComplete(w, address, key, e) }) {
+		w.step(e)
 	}
 }
 
@@ -165,7 +182,11 @@
 	if err != nil {
 		return err
 	}
-	return w.giveBack(ctx, shard.GiveBack{ID: key.id, Token: token})
+	e := shard.GiveBack{ID: key.id, Token: token}
+	if address := c.owner(w.object); address != "" && c.forwardGiveBack(ctx, address, key, e) {
+		return nil
+	}
+	return w.settle(ctx, token, e)
 }
 
 // grantedWorker is the worker of a key that was granted, so the layout is known.
@@ -229,7 +250,7 @@
 
 // Waiting is the number of claims and records that the store does not have yet.
 func (c *Claimer) Waiting() int {
-	n := 0
+	n := int(c.inFlight.Load())
 	for _, w := range c.all() {
 		n += w.waiting()
 	}
@@ -266,6 +287,9 @@
 		}
 	}
 	c.cancel()
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
 	for _, w := range c.all() {
 		w.stop()
 	}
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -20,6 +20,12 @@
 	// Patience bounds the wait for a claim, within the caller's time limit.
 	// Longer rides out a slow store, shorter refuses sooner.
 	Patience time.Duration
+	// Peers sends claims to the one host that writes their object, which makes
+	// large batches; nil lets every host write. It does not matter for safety.
+	Peers Peers
+	// AvoidOwner is how long an owner that did not answer is not asked again.
+	// Longer spares callers a wait for a dead one, shorter keeps batches large.
+	AvoidOwner time.Duration
 	// Core is the template for all shard objects.
 	Core shard.Config
 }
@@ -50,6 +56,7 @@
 		AcceptUndated: true,
 		MaxAhead:      5 * time.Minute,
 		Patience:      2 * time.Second,
+		AvoidOwner:    5 * time.Second,
 		Core:          shard.DefaultConfig(),
 	}
 }
@@ -67,6 +74,7 @@
 	check(c.Layout.Slots > 1, "layout.slots", "must be 2 or more")
 	check(c.Layout.Slots < 2 || c.Layout.Memory() > 2*c.MaxAhead, "layout.slots", "must give a memory of more than twice max ahead")
 	check(c.MaxAhead >= 0, "max ahead", "must be 0 or more")
+	check(c.AvoidOwner >= 0, "avoid owner", "must be 0 or more")
 	check(c.Patience > 0, "patience", "must be more than 0")
 	check(c.Core.MaxBytes > 0 && c.Core.MaxBytes < 1<<20, "core.max_bytes", "must be below the store's limit of 1 MB")
 	check(c.Core.RetryMin > 0 && c.Core.RetryMin <= c.Core.RetryMax, "core.retry_min", "must be more than 0 and at most retry max")
--- /dev/null
+++ b/internal/claim/network_test.go
@@ -0,0 +1,80 @@
+package claim_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/claim"
+)
+
+var errLost = errors.New("message lost")
+
+// network connects claimers in one process. It loses messages and names wrong owners.
+type network struct {
+	mu     sync.Mutex
+	hosts  map[string]*claim.Claimer
+	random *rand.Rand
+	served atomic.Int64
+}
+
+func newNetwork() *network {
+	return &network{hosts: make(map[string]*claim.Claimer), random: rand.New(rand.NewPCG(3, 3))}
+}
+
+func (n *network) join(name string, c *claim.Claimer) {
+	if n == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name] = c
+}
+
+func (n *network) from(name string) claim.Peers {
+	return &peers{network: n, name: name}
+}
+
+func (n *network) chance(p float64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.Float64() < p
+}
+
+type peers struct {
+	*network
+	name string
+}
+
+func (p *peers) Owner(object string) string {
+	hosts := []string{"0", "1", "2", "3"}
+	owner := claim.OwnerOf(object, hosts)
+	if p.chance(0.2) {
+		owner = hosts[len(object)%len(hosts)]
+	}
+	if owner == p.name {
+		return ""
+	}
+	return owner
+}
+
+func (p *peers) Forward(ctx context.Context, address string, r claim.Request) (claim.Reply, error) {
+	p.mu.Lock()
+	host := p.hosts[address]
+	p.mu.Unlock()
+	switch {
+	case host == nil || p.chance(0.05):
+		return claim.Reply{}, claim.ErrNotSent
+	case p.chance(0.05):
+		return claim.Reply{}, errLost
+	}
+	p.served.Add(1)
+	reply := host.Serve(ctx, r)
+	if p.chance(0.1) {
+		return claim.Reply{}, errLost
+	}
+	return reply, nil
+}
--- a/internal/claim/shard/core.go
+++ b/internal/claim/shard/core.go
@@ -139,7 +139,7 @@
 func (c *Core) claim(now time.Duration, e Claim) {
 	c.wall = max(c.wall, e.Wall)
 	if len(c.ops) >= c.config.MaxQueue || c.down && now < c.notBefore {
-		c.emit(Answer{Token: e.Token, Decision: Refused, RetryAfter: c.retryAfter(now)})
+		c.emit(Answer{Token: e.Token, Decision: Refused, RetryAfter: c.retryAfter(now), NotStored: true})
 		return
 	}
 	c.ops = append(c.ops, &op{kind: claimOp, id: e.ID, token: e.Token, claim: e, seq: c.seq})
--- a/internal/claim/shard/message.go
+++ b/internal/claim/shard/message.go
@@ -108,6 +108,8 @@
 	Outcome Outcome
 	// RetryAfter is set with Refused: when coming back can help.
 	RetryAfter time.Duration
+	// NotStored is set with Refused when the claim is certainly not in the store.
+	NotStored bool
 }
 
 // Recorded ends a Complete or GiveBack.
--- a/internal/claim/shard/result.go
+++ b/internal/claim/shard/result.go
@@ -164,11 +164,12 @@
 // refuse tells the caller that nothing was run. A claim that is or may be
 // stored stays queued, to be given back.
 func (c *Core) refuse(now time.Duration, o *op) {
+	notStored := !o.inWrite && !o.mayBeStored
 	if !o.answered && !o.abandoned {
-		c.emit(Answer{Token: o.token, Decision: Refused, RetryAfter: c.retryAfter(now)})
+		c.emit(Answer{Token: o.token, Decision: Refused, RetryAfter: c.retryAfter(now), NotStored: notStored})
 	}
 	o.answered = true
-	o.settled = !o.inWrite && (!o.mayBeStored || o.claim.Forwarded)
+	o.settled = notStored || o.claim.Forwarded && !o.inWrite
 }
 
 func (c *Core) answer(o *op, a Answer) {
--- a/internal/claim/worker.go
+++ b/internal/claim/worker.go
@@ -40,7 +40,9 @@
 	}
 }
 
-func (w *worker) claim(ctx context.Context, e shard.Claim) Answer {
+// claim waits for the answer. When ctx ends first the claim is abandoned, but
+// for a forwarded one, which its own host gives back.
+func (w *worker) claim(ctx context.Context, e shard.Claim) shard.Answer {
 	answered := make(chan shard.Answer, 1)
 	w.mu.Lock()
 	w.answers[e.Token] = answered
@@ -48,34 +50,38 @@
 	w.mu.Unlock()
 	select {
 	case a := <-answered:
-		return Answer{Decision: a.Decision, Token: a.Token, Outcome: a.Outcome, RetryAfter: a.RetryAfter}
+		return a
 	case <-ctx.Done():
 	}
 	// A grant that came in this moment is given back: nothing is sent under it.
 	w.mu.Lock()
 	delete(w.answers, e.Token)
-	w.locked(shard.Abandon{ID: e.ID, Token: e.Token})
+	if !e.Forwarded {
+		w.locked(shard.Abandon{ID: e.ID, Token: e.Token})
+	}
 	w.mu.Unlock()
-	return w.claimer.refused()
+	return shard.Answer{Token: e.Token, Decision: shard.Refused, RetryAfter: w.claimer.config.Core.RetryMax}
 }
 
-func (w *worker) giveBack(ctx context.Context, e shard.GiveBack) error {
+// settle waits until a Complete or GiveBack is durable. When ctx ends first it
+// goes on in the background.
+func (w *worker) settle(ctx context.Context, token Token, e shard.Event) error {
 	done := make(chan shard.Recorded, 1)
 	w.mu.Lock()
-	w.recorded[e.Token] = done
+	w.recorded[token] = done
 	w.locked(e)
 	w.mu.Unlock()
 	select {
 	case r := <-done:
 		if r.Lost {
-			return errors.New("give back a claim: its record is gone")
+			return errors.New("settle a claim: its record is gone")
 		}
 		return nil
 	case <-ctx.Done():
 		w.mu.Lock()
-		delete(w.recorded, e.Token)
+		delete(w.recorded, token)
 		w.mu.Unlock()
-		return errors.Wrap(ctx.Err(), "give back a claim")
+		return errors.Wrap(ctx.Err(), "settle a claim")
 	}
 }
 
