--- a/internal/claim/experiment/host.go
+++ b/internal/claim/experiment/host.go
@@ -40,6 +40,9 @@
 	asked   time.Duration
 	outcome shard.Outcome
 	record  *Record // of the call in progress
+	// settled says that the claim was answered for certain, granted how.
+	settled bool
+	granted bool
 }
 
 func newHost(w *World, index int) *host {
@@ -86,6 +89,7 @@
 		a.outcome = shard.Outcome{Status: 200, Body: make([]byte, max(8, w.config.BodyBytes))}
 		binary.BigEndian.PutUint64(a.outcome.Body, w.attempts)
 		h.attempts[a.token] = a
+		w.callers[a.token] = h
 		a.record = w.history.call(w, a, OpClaim)
 		h.send(a, shard.Claim{
 			ID: idOf(key), Token: a.token, Fingerprint: key,
@@ -105,19 +109,57 @@
 }
 
 // send hands an event to the core that serves the key, on this host or on the
-// shard's owner.
+// shard's owner. Without an answer in time this host goes on by itself.
 func (h *host) send(a *attempt, e shard.Event) {
 	w := h.world
-	window := uint64(a.date / w.config.WindowLength)
+	window, n := w.place(a)
+	owner := w.ownerOf(h, n)
+	if owner == h {
+		h.step(h.engine(window, n), e)
+		return
+	}
+	forwarded := e
+	if c, ok := e.(shard.Claim); ok {
+		c.Forwarded = true
+		forwarded = c
+	}
+	w.hop(owner, func() { owner.step(owner.engine(window, n), forwarded) })
+	record := a.record
+	w.after(w.config.Patience, h.alive(func() { a.unanswered(record, e) }))
+}
+
+// local hands an event to this host's own core.
+func (h *host) local(a *attempt, e shard.Event) {
+	window, n := h.world.place(a)
+	h.step(h.engine(window, n), e)
+}
+
+func (w *World) place(a *attempt) (window uint64, n int) {
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], a.key)
-	n := int(xxhash.Sum64(b[:]) % uint64(w.config.Shards))
-	if !w.config.Owners {
-		h.step(h.engine(window, n), e)
+	return uint64(a.date / w.config.WindowLength), int(xxhash.Sum64(b[:]) % uint64(w.config.Shards))
+}
+
+func (w *World) ownerOf(h *host, n int) *host {
+	switch {
+	case !w.config.Owners:
+		return h
+	case w.chance(w.config.MisrouteShare):
+		return w.anyHost()
+	}
+	return w.hosts[n%len(w.hosts)]
+}
+
+// hop carries a message to another host.
+func (w *World) hop(to *host, f func()) {
+	if w.chance(w.config.Faults.LoseHop) {
 		return
 	}
-	owner := w.hosts[n%len(w.hosts)]
-	w.after(w.config.Hop, owner.alive(func() { owner.step(owner.engine(window, n), e) }))
+	d := w.config.Hop
+	if w.chance(w.config.Faults.Late) {
+		d += w.upTo(w.config.Faults.LateTime)
+	}
+	w.after(d, to.alive(f))
 }
 
 func (h *host) engine(window uint64, n int) *engine {
@@ -171,16 +213,18 @@
 // reply takes an answer to the host where the caller is.
 func (h *host) reply(token shard.Token, f func(*attempt)) {
 	w := h.world
-	for _, caller := range w.hosts {
-		a, ok := caller.attempts[token]
-		if !ok {
-			continue
-		}
-		if caller == h {
+	caller, ok := w.callers[token]
+	if !ok {
+		return
+	}
+	deliver := func() {
+		if a, ok := caller.attempts[token]; ok {
 			f(a)
-			return
 		}
-		w.after(w.config.Hop, caller.alive(func() { f(a) }))
+	}
+	if caller == h {
+		deliver()
 		return
 	}
+	w.hop(caller, deliver)
 }
