Put the bench's relays between hosts, and let a host listen apart from its address

Ruled out: addresses by viewer in the platform's list, which gossip overrides. The scenario cut now fails if the change got through.

--- a/internal/bench/fakerouter_test.go
+++ b/internal/bench/fakerouter_test.go
@@ -44,6 +44,7 @@
 	flag.StringVar(&r.policy, "policy", "", "")
 	flag.String("data-centre", "", "")
 	flag.String("peer", "", "")
+	flag.String("peer-bind", "", "")
 	flag.Parse()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -94,6 +94,9 @@
 		return err
 	}
 	err = st.at(ctx, faultEnds)
+	if behind := st.behind(version); err == nil && len(behind) == 0 {
+		err = errors.New("the change reached every host during the cut")
+	}
 	st.fleet.Network.Heal()
 	st.tell("the cut is healed")
 	if err != nil {
--- a/internal/bench/fleet/address.go
+++ b/internal/bench/fleet/address.go
@@ -26,6 +26,7 @@
 	netDataCentre    = 1   // and up, one for each data centre
 	netPlatformRelay = 40  // and up, one for each data centre
 	netCallers       = 60  // and up, one for each data centre
+	netPeers         = 80  // and up, one for each data centre
 	netRelay         = 100 // and up, ten for each viewing data centre
 )
 
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -191,7 +191,8 @@
 		"--data-centre", f.Deployment.DataCentres[h.DataCentre],
 		"--listen", h.Callers,
 		"--admin", h.Admin,
-		"--peer", h.Peer,
+		"--peer", h.PeerVia,
+		"--peer-bind", h.Peer,
 		"--platform", "http://"+f.Network.platformVia[h.DataCentre],
 		"--policy", f.config.Policy,
 	)
@@ -389,7 +390,7 @@
 func (f *Fleet) PublishHosts(ctx context.Context) error {
 	var entries []hostEntry
 	for _, h := range f.Hosts {
-		entries = append(entries, f.entry(h.Name, h.Peer, roleEntry, h.DataCentre))
+		entries = append(entries, f.entry(h.Name, h.PeerVia, roleEntry, h.DataCentre))
 	}
 	for _, u := range f.Upstreams {
 		entry := f.entry(u.Name, u.Address, u.Role, u.DataCentre)
--- a/internal/bench/fleet/layout.go
+++ b/internal/bench/fleet/layout.go
@@ -21,9 +21,9 @@
 	Name string
 	// DataCentre is an index into the deployment's data centres.
 	DataCentre int
-	// Callers, Admin and Peer are the router's own addresses; CallersVia is
-	// where callers reach it.
-	Callers, CallersVia, Admin, Peer string
+	// Callers, Admin and Peer are the router's own addresses; CallersVia and
+	// PeerVia are where callers and other hosts reach it.
+	Callers, CallersVia, Admin, Peer, PeerVia string
 	// ControllerAdmin is the controller's.
 	ControllerAdmin string
 }
@@ -73,6 +73,7 @@
 		CallersVia:      b.address(netCallers+place, fourth, portCallers),
 		Admin:           b.address(third, fourth, portAdmin),
 		Peer:            b.address(third, fourth, portPeer),
+		PeerVia:         b.address(netPeers+place, fourth, portPeer),
 		ControllerAdmin: b.address(third, fourth, portControllerAdmin),
 	}
 }
--- a/internal/bench/fleet/network.go
+++ b/internal/bench/fleet/network.go
@@ -21,23 +21,18 @@
 
 func pairOf(a, b int) pair { return pair{min(a, b), max(a, b)} }
 
-// peerRelay carries what hosts of one data centre say to a host of another or
-// of the same.
-type peerRelay struct {
-	viewer, place int
-	relay         *relay.Relay
-}
-
 // Network is the relays between the places of a fleet.
 type Network struct {
-	between  map[pair]*relay.Link
+	// upstreams are the links between hosts and the upstreams of another data
+	// centre.
+	upstreams map[pair]*relay.Link
+	// peers are the links between hosts, also of the same data centre.
+	peers    map[pair]*relay.Link
 	platform []*relay.Link
 	callers  *relay.Link
 	relays   []*relay.Relay
-	// peers and toPlatform are the relays that carry control traffic.
-	peers      []peerRelay
-	toPlatform []*relay.Relay
-	// via maps an address to the address for viewers of each other data centre.
+	// via maps an upstream's address to the address for viewers of each other
+	// data centre.
 	via map[string]map[string]string
 	// platformVia is where each data centre reaches the platform.
 	platformVia []string
@@ -45,11 +40,11 @@
 
 // newNetwork starts the relays of a layout.
 func newNetwork(l Layout, b *Block, platform string, seed uint64) (*Network, error) {
-	d := l.Deployment
 	n := &Network{
-		between: make(map[pair]*relay.Link),
-		callers: &relay.Link{Delay: d.ClientDelay},
-		via:     make(map[string]map[string]string),
+		upstreams: newLinks(l.Deployment),
+		peers:     newLinks(l.Deployment),
+		callers:   &relay.Link{Delay: l.Deployment.ClientDelay},
+		via:       make(map[string]map[string]string),
 	}
 	if err := n.start(l, b, platform, seed); err != nil {
 		n.Close()
@@ -58,81 +53,89 @@
 	return n, nil
 }
 
+// newLinks returns a link for each pair of data centres, without delay within one.
+func newLinks(d workload.Deployment) map[pair]*relay.Link {
+	links := make(map[pair]*relay.Link)
+	for high := range d.DataCentres {
+		for low := range high {
+			links[pair{low, high}] = &relay.Link{Delay: d.LinkDelay, Jitter: d.LinkJitter, Loss: d.LinkLoss}
+		}
+		links[pair{high, high}] = &relay.Link{}
+	}
+	return links
+}
+
 func (n *Network) start(l Layout, b *Block, platform string, seed uint64) error {
 	for place := range l.Deployment.DataCentres {
 		link := &relay.Link{Delay: platformDelay}
 		address := b.address(netPlatformRelay+place, 1, portPlatform)
-		r, err := n.relay(address, platform, link, seed)
-		if err != nil {
+		if err := n.relay(address, platform, relay.Over(link), seed); err != nil {
 			return err
 		}
 		n.platform = append(n.platform, link)
 		n.platformVia = append(n.platformVia, address)
-		n.toPlatform = append(n.toPlatform, r)
 	}
 	for _, h := range l.Hosts {
-		if _, err := n.relay(h.CallersVia, h.Callers, n.callers, seed); err != nil {
+		if err := n.relay(h.CallersVia, h.Callers, relay.Over(n.callers), seed); err != nil {
 			return err
 		}
-		if err := n.reach(l, b, h.Peer, h.DataCentre, true, seed); err != nil {
+		if err := n.relay(h.PeerVia, h.Peer, n.peerRoute(l, h.DataCentre), seed); err != nil {
 			return err
 		}
 	}
 	for _, u := range l.Upstreams {
-		if err := n.reach(l, b, u.Address, u.DataCentre, false, seed); err != nil {
+		if err := n.reach(l, b, u, seed); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (n *Network) relay(address, target string, link *relay.Link, seed uint64) (*relay.Relay, error) {
-	r, err := relay.Start(address, target, link, seed^uint64(len(n.relays)))
+func (n *Network) relay(address, target string, route relay.Route, seed uint64) error {
+	r, err := relay.Start(address, target, route, seed^uint64(len(n.relays)))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	n.relays = append(n.relays, r)
-	return r, nil
+	return nil
+}
+
+// peerRoute chooses the link by the sender's data centre, which its IP number
+// tells; a sender from elsewhere counts as one of the same data centre.
+func (n *Network) peerRoute(l Layout, place int) relay.Route {
+	return func(from net.IP) *relay.Link {
+		sender := place
+		if ip := from.To4(); ip != nil {
+			if at := int(ip[2]) - netDataCentre; at >= 0 && at < len(l.Deployment.DataCentres) && ip[3] > 1 {
+				sender = at
+			}
+		}
+		return n.peers[pairOf(sender, place)]
+	}
 }
 
-// reach starts the relays through which target is reached from each data
-// centre. Within its own one upstreams are reached directly, and hosts over a
-// relay without delay, so that what they say to each other is counted.
-func (n *Network) reach(l Layout, b *Block, target string, place int, peer bool, seed uint64) error {
-	fourth, port, err := lastParts(target)
+// reach starts the relays through which an upstream is reached from the other
+// data centres.
+func (n *Network) reach(l Layout, b *Block, u Upstream, seed uint64) error {
+	fourth, port, err := lastParts(u.Address)
 	if err != nil {
 		return err
 	}
-	n.via[target] = make(map[string]string)
+	n.via[u.Address] = make(map[string]string)
 	for viewer, name := range l.Deployment.DataCentres {
-		if viewer == place && !peer {
+		if viewer == u.DataCentre {
 			continue
 		}
-		address := b.address(netRelay+viewer*relayStride+place, fourth, port)
-		r, err := n.relay(address, target, n.link(l.Deployment, viewer, place), seed)
-		if err != nil {
+		address := b.address(netRelay+viewer*relayStride+u.DataCentre, fourth, port)
+		link := n.upstreams[pairOf(viewer, u.DataCentre)]
+		if err := n.relay(address, u.Address, relay.Over(link), seed); err != nil {
 			return err
 		}
-		n.via[target][name] = address
-		if peer {
-			n.peers = append(n.peers, peerRelay{viewer: viewer, place: place, relay: r})
-		}
+		n.via[u.Address][name] = address
 	}
 	return nil
 }
 
-// link returns the link between two data centres, the same for all relays.
-func (n *Network) link(d workload.Deployment, a, b int) *relay.Link {
-	key := pairOf(a, b)
-	if n.between[key] == nil {
-		n.between[key] = &relay.Link{}
-		if a != b {
-			n.between[key] = &relay.Link{Delay: d.LinkDelay, Jitter: d.LinkJitter, Loss: d.LinkLoss}
-		}
-	}
-	return n.between[key]
-}
-
 func lastParts(address string) (fourth, port int, err error) {
 	host, portText, err := net.SplitHostPort(address)
 	if err != nil {
@@ -149,9 +152,11 @@
 // CutDataCentre cuts a data centre off from the others, and from the platform
 // if wanted.
 func (n *Network) CutDataCentre(place int, platformToo bool) {
-	for key, link := range n.between {
-		if key.low != key.high && (key.low == place || key.high == place) {
-			link.Cut()
+	for _, links := range []map[pair]*relay.Link{n.upstreams, n.peers} {
+		for key, link := range links {
+			if key.low != key.high && (key.low == place || key.high == place) {
+				link.Cut()
+			}
 		}
 	}
 	if platformToo {
@@ -161,8 +166,10 @@
 
 // Heal ends all cuts.
 func (n *Network) Heal() {
-	for _, link := range n.between {
-		link.Heal()
+	for _, links := range []map[pair]*relay.Link{n.upstreams, n.peers} {
+		for _, link := range links {
+			link.Heal()
+		}
 	}
 	for _, link := range n.platform {
 		link.Heal()
@@ -172,13 +179,13 @@
 // ControlBytes is how many bytes the hosts of each data centre have sent and
 // received so far, among hosts and to and from the platform.
 func (n *Network) ControlBytes() []int64 {
-	totals := make([]int64, len(n.toPlatform))
-	for place, r := range n.toPlatform {
-		totals[place] += r.Bytes()
+	totals := make([]int64, len(n.platform))
+	for place, link := range n.platform {
+		totals[place] += link.Bytes()
 	}
-	for _, p := range n.peers {
-		totals[p.viewer] += p.relay.Bytes()
-		totals[p.place] += p.relay.Bytes()
+	for key, link := range n.peers {
+		totals[key.low] += link.Bytes()
+		totals[key.high] += link.Bytes()
 	}
 	return totals
 }
--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -35,7 +35,8 @@
 	// Loss is the probability that a packet is lost and sent again.
 	Loss float64
 
-	cut atomic.Bool
+	cut   atomic.Bool
+	bytes atomic.Int64
 }
 
 // Cut stops the link: data and new connections wait until Heal.
@@ -44,6 +45,9 @@
 // Heal ends a cut.
 func (l *Link) Heal() { l.cut.Store(false) }
 
+// Bytes is how many bytes were passed on in both directions.
+func (l *Link) Bytes() int64 { return l.bytes.Load() }
+
 // delay draws the time that a chunk of n bytes takes.
 func (l *Link) delay(r *rand.Rand, n int) time.Duration {
 	d := l.Delay + time.Duration(r.ExpFloat64()*float64(l.Jitter))
@@ -57,14 +61,19 @@
 	return d
 }
 
+// Route chooses the link of a connection by where it comes from.
+type Route func(from net.IP) *Link
+
+// Over routes every connection over one link.
+func Over(link *Link) Route { return func(net.IP) *Link { return link } }
+
 // Relay listens on an address and passes connections on to a target.
 type Relay struct {
 	listener net.Listener
 	target   string
-	link     *Link
+	route    Route
 	seed     uint64
 	done     chan struct{}
-	bytes    atomic.Int64
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
@@ -73,8 +82,8 @@
 	running     sync.WaitGroup
 }
 
-// Start listens on address and relays to target over the link.
-func Start(address, target string, link *Link, seed uint64) (*Relay, error) {
+// Start listens on address and relays to target over the links of route.
+func Start(address, target string, route Route, seed uint64) (*Relay, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for the relay to %s", target)
@@ -82,7 +91,7 @@
 	r := &Relay{
 		listener:    listener,
 		target:      target,
-		link:        link,
+		route:       route,
 		seed:        seed,
 		done:        make(chan struct{}),
 		connections: make(map[net.Conn]struct{}),
@@ -95,9 +104,6 @@
 // Address is where the relay listens.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// Bytes is how many bytes were passed on in both directions.
-func (r *Relay) Bytes() int64 { return r.bytes.Load() }
-
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	r.mu.Lock()
@@ -151,7 +157,8 @@
 
 func (r *Relay) serve(caller net.Conn, number uint64) {
 	defer r.remove(caller)
-	if !r.waitHealed() {
+	link := r.linkOf(caller)
+	if !r.waitHealed(link) {
 		return
 	}
 	target, err := net.DialTimeout("tcp", r.target, dialTimeout)
@@ -164,14 +171,21 @@
 	defer r.remove(target)
 	var directions sync.WaitGroup
 	directions.Add(2)
-	go r.pass(target, caller, 2*number, &directions)
-	go r.pass(caller, target, 2*number+1, &directions)
+	go r.pass(link, target, caller, 2*number, &directions)
+	go r.pass(link, caller, target, 2*number+1, &directions)
 	directions.Wait()
 }
 
+func (r *Relay) linkOf(caller net.Conn) *Link {
+	if from, ok := caller.RemoteAddr().(*net.TCPAddr); ok {
+		return r.route(from.IP)
+	}
+	return r.route(nil)
+}
+
 // waitHealed returns false when the relay was closed during a cut.
-func (r *Relay) waitHealed() bool {
-	for r.link.cut.Load() {
+func (r *Relay) waitHealed(link *Link) bool {
+	for link.cut.Load() {
 		select {
 		case <-r.done:
 			return false
@@ -188,26 +202,26 @@
 }
 
 // pass copies one direction; it ends the whole connection when either side fails.
-func (r *Relay) pass(to, from net.Conn, stream uint64, directions *sync.WaitGroup) {
+func (r *Relay) pass(link *Link, to, from net.Conn, stream uint64, directions *sync.WaitGroup) {
 	defer directions.Done()
 	under := make(chan chunk, queueChunks)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		r.write(to, from, under)
+		r.write(link, to, from, under)
 	}()
-	r.read(from, under, rand.New(rand.NewPCG(r.seed, stream)))
+	r.read(link, from, under, rand.New(rand.NewPCG(r.seed, stream)))
 	close(under)
 	<-written
 }
 
-func (r *Relay) read(from net.Conn, under chan<- chunk, random *rand.Rand) {
+func (r *Relay) read(link *Link, from net.Conn, under chan<- chunk, random *rand.Rand) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			c := chunk{data: append([]byte(nil), buffer[:n]...)}
-			c.due = time.Now().Add(r.link.delay(random, n))
+			c.due = time.Now().Add(link.delay(random, n))
 			under <- c
 		}
 		if err != nil {
@@ -219,10 +233,10 @@
 // write sends chunks when they are due, in order. After the last one it
 // closes the sending side, so that the other direction may go on; after a
 // failure it closes both connections.
-func (r *Relay) write(to, from net.Conn, under <-chan chunk) {
+func (r *Relay) write(link *Link, to, from net.Conn, under <-chan chunk) {
 	for c := range under {
 		time.Sleep(time.Until(c.due))
-		if !r.waitHealed() || !r.forward(to, c.data) {
+		if !r.waitHealed(link) || !forward(link, to, c.data) {
 			_ = from.Close()
 			_ = to.Close()
 			break
@@ -236,8 +250,8 @@
 	}
 }
 
-func (r *Relay) forward(to net.Conn, data []byte) bool {
+func forward(link *Link, to net.Conn, data []byte) bool {
 	n, err := to.Write(data)
-	r.bytes.Add(int64(n))
+	link.bytes.Add(int64(n))
 	return err == nil
 }
--- a/internal/bench/relay/relay_test.go
+++ b/internal/bench/relay/relay_test.go
@@ -36,7 +36,7 @@
 
 func start(t *testing.T, target string, link *Link) *Relay {
 	t.Helper()
-	r, err := Start("127.0.0.1:0", target, link, 1)
+	r, err := Start("127.0.0.1:0", target, Over(link), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,6 +80,32 @@
 	}
 }
 
+func TestRouteFollowsTheSender(t *testing.T) {
+	links := map[string]*Link{"127.0.0.2": {}, "127.0.0.3": {}}
+	r, err := Start("127.0.0.1:0", echo(t), func(from net.IP) *Link { return links[from.String()] }, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	for ip, link := range links {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		c, err := dialer.Dial("tcp", r.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write([]byte("four")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+			t.Fatal(err)
+		}
+		if link.Bytes() < 4 {
+			t.Errorf("%d bytes passed the link of %s", link.Bytes(), ip)
+		}
+	}
+}
+
 func TestCutHoldsDataUntilHealed(t *testing.T) {
 	link := &Link{}
 	r := start(t, echo(t), link)
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,7 +143,11 @@
 
 func (p *Process) assemblePeers() error {
 	received := func(from string, m wire.Message) { p.loop.Post(router.PeerReceived{From: from, Message: m}) }
-	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), &net.Dialer{}, received, p.log)
+	dialer, err := p.settings.peerDialer()
+	if err != nil {
+		return err
+	}
+	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), dialer, received, p.log)
 	p.peers = transport
 	return errors.Wrap(err, "assemble the transport between hosts")
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -48,8 +48,8 @@
 	if l.admin, err = net.Listen("tcp", p.settings.Admin); err != nil {
 		return l, errors.Wrap(err, "listen for operators (--admin)")
 	}
-	if l.peers, err = net.Listen("tcp", p.settings.Peer); err != nil {
-		return l, errors.Wrap(err, "listen for other hosts (--peer)")
+	if l.peers, err = net.Listen("tcp", p.settings.peerBind()); err != nil {
+		return l, errors.Wrap(err, "listen for other hosts (--peer-bind or --peer)")
 	}
 	return l, nil
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -1,10 +1,13 @@
 package host
 
 import (
+	"net"
 	"net/netip"
 	"net/url"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/finding"
 )
@@ -16,6 +19,7 @@
 	Listen         string        `env:"CHESTNUT_LISTEN" flag:"listen" default:"127.0.0.1:8080" help:"address for callers (ip:port)"`
 	Admin          string        `env:"CHESTNUT_ADMIN" flag:"admin" default:"127.0.0.1:8081" help:"address for operators (ip:port)"`
 	Peer           string        `env:"CHESTNUT_PEER" flag:"peer" default:"127.0.0.1:8082" help:"address for other hosts (ip:port), as listed by the platform"`
+	PeerBind       string        `env:"CHESTNUT_PEER_BIND" flag:"peer-bind" help:"address to listen on for other hosts, where it differs from --peer (ip:port)"`
 	Platform       string        `env:"CHESTNUT_PLATFORM" flag:"platform" help:"base URL of the platform's object API"`
 	Policy         string        `env:"CHESTNUT_POLICY" flag:"policy" default:"default" help:"placement policy: default, or naive for comparisons"`
 	Seed           uint64        `env:"CHESTNUT_SEED" flag:"seed" default:"0" help:"seed of the policies' random choices; 0 draws one"`
@@ -38,6 +42,7 @@
 	checkAddress(&l, "--listen", s.Listen)
 	checkAddress(&l, "--admin", s.Admin)
 	checkAddress(&l, "--peer", s.Peer)
+	checkAddress(&l, "--peer-bind", s.peerBind())
 	checkURL(&l, "--platform", s.Platform)
 	if p := dispatch.Policy(s.Policy); p != dispatch.PolicyDefault && p != dispatch.PolicyNaive {
 		l.Add("--policy", "must be default or naive, not "+s.Policy)
@@ -57,6 +62,24 @@
 	return l
 }
 
+// peerBind is where the process listens for other hosts. It also dials them
+// from that IP number, by which what stands between two hosts knows the sender.
+func (s *Settings) peerBind() string {
+	if s.PeerBind != "" {
+		return s.PeerBind
+	}
+	return s.Peer
+}
+
+// peerDialer returns a dialer for connections to other hosts.
+func (s *Settings) peerDialer() (*net.Dialer, error) {
+	address, err := netip.ParseAddrPort(s.peerBind())
+	if err != nil {
+		return nil, errors.Wrap(err, "read --peer-bind")
+	}
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: address.Addr().AsSlice()}}, nil
+}
+
 // minListInterval keeps the hosts within the platform's read rate.
 const minListInterval = 100 * time.Millisecond
 
