--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -14,7 +14,7 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
 	"github.com/chestnutline/chestnutline/internal/finding"
@@ -72,7 +72,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	logger := &log.Logger{Handler: text.New(os.Stderr), Level: log.InfoLevel}
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	if err := c.run(ctx, logger); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-load:", err)
 		return exitFailed
--- /dev/null
+++ b/cmd/chestnut-load/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/chestnutline/chestnutline/internal/settings"
+)
+
+func TestBadSettingsAreReportedTogether(t *testing.T) {
+	s := &runSettings{Deployment: "x", Policy: "y", Seconds: 1, Load: 9, Scenario: "z"}
+	findings := s.Validate()
+	var places []string
+	for _, f := range findings {
+		places = append(places, f.Place)
+	}
+	if got := strings.Join(places, " "); got != "--deployment --policy --seconds --load --scenario" {
+		t.Errorf("findings for %s", got)
+	}
+	good := &runSettings{Deployment: "order-desk", Policy: policyNaive, Seconds: 60, Load: 1.5, Scenario: "cut"}
+	if findings := good.Validate(); len(findings) > 0 {
+		t.Errorf("good settings were refused: %v", findings)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, args := range [][]string{{}, {"run", "--policy", "best"}, {"run", "--seconds", "many"}} {
+		if code := start(args); code != settings.ExitUsage {
+			t.Errorf("%v: exit code %d", args, code)
+		}
+	}
+	if code := start([]string{"compare", "/nowhere/a.json", "/nowhere/b.json"}); code != exitFailed {
+		t.Errorf("missing reports: exit code %d", code)
+	}
+}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -121,10 +121,7 @@
 	}
 	s.version = version
 	if err := s.fleet.WaitReady(ctx); err != nil {
-		if dead := s.fleet.Dead(); len(dead) > 0 {
-			return errors.Wrapf(err, "processes have ended: %v", dead)
-		}
-		return err
+		return s.explain(err)
 	}
 	select {
 	case <-ctx.Done():
@@ -134,6 +131,14 @@
 	}
 }
 
+// explain adds to an error which processes have ended.
+func (s *session) explain(err error) error {
+	if dead := s.fleet.Dead(); len(dead) > 0 {
+		return errors.Wrapf(err, "processes have ended: %v", dead)
+	}
+	return err
+}
+
 func (s *session) close() {
 	s.client.Close()
 	s.fleet.Close()
@@ -158,7 +163,7 @@
 	for {
 		counts, err := s.fleet.Counts(ctx, false)
 		if err != nil {
-			return counts, err
+			return counts, s.explain(err)
 		}
 		if counts.MemoryHeld() == 0 || time.Now().After(limit) {
 			return s.fleet.Counts(ctx, true)
--- a/internal/bench/report/measure.go
+++ b/internal/bench/report/measure.go
@@ -69,6 +69,7 @@
 	r.measureTTFT(outcomes)
 	r.measureGaps(outcomes)
 	r.measureService(c, outcomes)
+	r.measureDelivered(c, outcomes)
 	r.measureRefusals(outcomes)
 	r.measureLate(c, outcomes)
 	r.measureFaults(outcomes)
@@ -129,10 +130,12 @@
 	r.InterTokenGapSecondsP95 = gaps.at(95)
 }
 
-// measureService counts requests delivered in time, weighted by kind; a
-// caller's second sending of an action counts as part of the first.
+// measureService counts requests delivered in time, weighted by kind. An
+// action that its caller sent twice counts once, as delivered when either
+// sending was.
 func (r *Report) measureService(c Conditions, outcomes []client.Outcome) {
-	var offered, inTime, promptsInTime float64
+	again := repeatsInTime(outcomes)
+	var offered, inTime float64
 	classes := make(map[workload.Class]*[2]float64)
 	for _, o := range outcomes {
 		if o.Again {
@@ -146,13 +149,9 @@
 		}
 		offered += weight
 		count[0]++
-		if !o.InTime() {
-			continue
-		}
-		inTime += weight
-		count[1]++
-		if o.Request.Class != workload.ClassService {
-			promptsInTime++
+		if o.InTime() || again[o.Request] {
+			inTime += weight
+			count[1]++
 		}
 	}
 	r.InTimeShareWeighted = ratio(inTime, offered)
@@ -160,18 +159,46 @@
 	for class, count := range classes {
 		r.InTimeShareByClass[class] = ratio(count[1], count[0])
 	}
-	best := min(c.Capacity.PromptsPerSecond*c.Duration.Seconds(), countPrompts(outcomes))
-	r.DeliveredShareOfBest = ratio(promptsInTime, best)
 }
 
-func countPrompts(outcomes []client.Outcome) float64 {
-	count := 0.0
+// repeatsInTime lists the actions whose second sending was delivered within
+// the limit of the first.
+func repeatsInTime(outcomes []client.Outcome) map[*workload.Request]bool {
+	inTime := make(map[*workload.Request]bool)
 	for _, o := range outcomes {
-		if o.Request.Class != workload.ClassService {
-			count++
+		if o.Again && o.Result == client.Delivered && o.Request.Repeat.After+o.End <= o.Request.Limit {
+			inTime[o.Request] = true
+		}
+	}
+	return inTime
+}
+
+// The part of a run that is left out of the delivered rate, while the first
+// answers are still being made: a share of the duration, but no more than a time.
+const (
+	rampShare = 0.25
+	rampMax   = 15 * time.Second
+)
+
+// measureDelivered compares the rate at which prompts were delivered in time,
+// once the first answers were through and while requests still arrived, with
+// the lesser of the capacity and the rate at which prompts arrived then.
+func (r *Report) measureDelivered(c Conditions, outcomes []client.Outcome) {
+	ramp := min(rampMax, time.Duration(rampShare*float64(c.Duration)))
+	within := func(at time.Duration) bool { return at >= ramp && at < c.Duration }
+	var arrived, delivered float64
+	for _, o := range outcomes {
+		if o.Request.Class == workload.ClassService {
+			continue
+		}
+		if within(o.Request.At) {
+			arrived++
+		}
+		if o.InTime() && within(o.Request.At+o.End) {
+			delivered++
 		}
 	}
-	return count
+	r.DeliveredShareOfBest = ratio(delivered, min(arrived, c.Capacity.PromptsPerSecond*(c.Duration-ramp).Seconds()))
 }
 
 func ratio(part, whole float64) *float64 {
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -89,9 +89,12 @@
 	refused.Result, refused.Told = client.Refused, client.ToldNotRun
 	wrong := delivered(workload.ClassLong, time.Second, 2*time.Second)
 	wrong.Result, wrong.Fault = client.Wrong, answer.Gapped
+	first := delivered(workload.ClassService, 0, time.Second)
+	first.Request.Repeat = &workload.Repeat{After: time.Second}
+	first.Result = client.Failed
 	again := delivered(workload.ClassService, 0, time.Second)
-	again.Again = true
-	outcomes = append(outcomes, late, refused, wrong, again)
+	again.Request, again.Again = first.Request, true
+	outcomes = append(outcomes, late, refused, wrong, first, again)
 	var r Report
 	r.Measure(Conditions{
 		Weights:  map[string]float64{"k": 1},
@@ -102,15 +105,28 @@
 	near(t, "p95 of shorts", &r.TTFTSeconds[workload.ClassShort].P95, 0.3)
 	near(t, "between tokens", r.InterTokenSecondsP95, 0.02)
 	near(t, "slowdown", r.ShortSlowdownP95, 1.5)
-	near(t, "in time", r.InTimeShareWeighted, 10.0/13)
-	near(t, "refused", r.RefusedShare, 1.0/13)
-	near(t, "delivered of best", r.DeliveredShareOfBest, 10.0/8)
+	near(t, "in time", r.InTimeShareWeighted, 11.0/14)
+	near(t, "refused", r.RefusedShare, 1.0/14)
 	near(t, "latest overrun", r.LatestOverrunSeconds, 1)
 	if *r.AdmittedLate != 1 || *r.AnswersMixed != 1 || r.AnswerFaults["gapped"] != 1 {
 		t.Errorf("late %d, mixed %d, faults %v", *r.AdmittedLate, *r.AnswersMixed, r.AnswerFaults)
 	}
 }
 
+func TestDeliveredRateLeavesOutRampAndDrain(t *testing.T) {
+	var outcomes []client.Outcome
+	for i := range 40 {
+		o := delivered(workload.ClassShort, time.Second, 2*time.Second)
+		o.Request.At = time.Duration(i) * time.Second
+		outcomes = append(outcomes, o)
+	}
+	for _, c := range []struct{ capacity, want float64 }{{0.5, 30 / 15.0}, {2, 1}} {
+		var r Report
+		r.Measure(Conditions{Capacity: workload.Capacity{PromptsPerSecond: c.capacity}, Duration: 40 * time.Second}, outcomes)
+		near(t, "delivered of best", r.DeliveredShareOfBest, c.want)
+	}
+}
+
 func TestReportSurvivesItsFile(t *testing.T) {
 	r := &Report{Policy: "naive", Notes: []string{}}
 	r.Measure(Conditions{Weights: map[string]float64{"k": 1}, Duration: time.Second}, []client.Outcome{delivered(workload.ClassShort, time.Second, 2*time.Second)})
