--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -24,6 +24,10 @@
 	case SyncRequest:
 		e.string(m.Host)
 		encodeList(e, m.Sections, e.section)
+	case SyncOffer:
+		e.entries(m.Host, m.DataCentre, m.Entries)
+	case SyncWant:
+		e.entries(m.Host, m.DataCentre, m.Entries)
 	case SyncReply:
 		e.string(m.Host)
 		encodeList(e, m.Members, e.member)
@@ -52,6 +56,12 @@
 	encodeList(e, h.Contacts, e.contact)
 }
 
+func (e *encoder) entries(host, dataCentre string, entries []uint32) {
+	e.string(host)
+	e.string(dataCentre)
+	encodeList(e, entries, func(entry uint32) { e.uint(uint64(entry)) })
+}
+
 func (e *encoder) member(m Member) {
 	e.string(m.Host)
 	e.string(m.DataCentre)
@@ -65,6 +75,7 @@
 	e.string(l.Upstream)
 	e.count(l.Requests)
 	e.count(l.PrefillTokens)
+	e.count(l.LongTokens)
 	e.count(l.MemoryTokens)
 }
 
@@ -76,6 +87,7 @@
 func (e *encoder) section(s Section) {
 	e.string(s.DataCentre)
 	e.uint(uint64(s.Hash))
+	e.uint(s.Weight)
 }
 
 func (e *encoder) string(s string) {
