--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -20,8 +20,6 @@
 	lostShare = 0.1
 	// changeInterval is the time between changes of the configuration.
 	changeInterval = 2 * time.Second
-	// holderPause is longer than any lease is held.
-	holderPause = 20 * time.Second
 	// drainLimit bounds how long a stopping router may finish its requests.
 	drainLimit = 180 * time.Second
 	// leavingWatch is how long upstreams are watched after they said that they leave.
@@ -224,64 +222,3 @@
 	st.report.LeavingQuietSeconds = &quiet
 	return nil
 }
-
-// pausedHolder pauses the controllers that hold their data centre's lease for
-// longer than the lease, changes the configuration meanwhile, and counts the
-// orders that engines took under an old fencing number.
-func pausedHolder(ctx context.Context, st *stage) error {
-	if !st.fleet.HasControllers() {
-		return errors.New("there is no controller to pause")
-	}
-	if err := st.at(ctx, faultBegins); err != nil {
-		return err
-	}
-	paused, err := st.pauseHolders(ctx)
-	if err != nil {
-		return err
-	}
-	if err := st.changeInForce(ctx); err != nil {
-		return err
-	}
-	if err := st.pause(ctx, holderPause); err != nil {
-		return err
-	}
-	for _, p := range paused {
-		st.tell("%s goes on", p.Name)
-		if err := fleet.Continue(p); err != nil {
-			return err
-		}
-	}
-	if err := st.pause(ctx, leavingWatch); err != nil {
-		return err
-	}
-	counts, err := st.fleet.Counts(ctx, false)
-	if err != nil {
-		return err
-	}
-	stale := counts.StaleOrders()
-	st.report.OrdersFromOldHolderInEffect = &stale
-	return nil
-}
-
-func (st *stage) pauseHolders(ctx context.Context) ([]*fleet.Process, error) {
-	var paused []*fleet.Process
-	for _, h := range st.fleet.Hosts {
-		holds, err := st.fleet.HoldsLease(ctx, h)
-		if err != nil {
-			return paused, err
-		}
-		if !holds {
-			continue
-		}
-		p := st.fleet.Controller(h.Name)
-		st.tell("%s is paused for %s", p.Name, holderPause)
-		if err := fleet.Pause(p); err != nil {
-			return paused, err
-		}
-		paused = append(paused, p)
-	}
-	if len(paused) == 0 {
-		return nil, errors.New("no controller says that it holds a lease")
-	}
-	return paused, nil
-}
--- a/internal/bench/fleet/counts.go
+++ b/internal/bench/fleet/counts.go
@@ -213,15 +213,39 @@
 	return stale
 }
 
-// controllerStatus is the part of a controller's status that is read.
-type controllerStatus struct {
+// controllerDump is the part of a controller's dump that is read.
+type controllerDump struct {
 	Holder bool `json:"holder"`
 }
 
 // HoldsLease reports whether a host's controller says that it holds the lease
 // of its data centre.
 func (f *Fleet) HoldsLease(ctx context.Context, h Host) (bool, error) {
-	var s controllerStatus
-	err := f.control.call(ctx, http.MethodGet, "http://"+h.ControllerAdmin+"/status", nil, &s)
-	return s.Holder, err
+	var d controllerDump
+	err := f.control.call(ctx, http.MethodGet, "http://"+h.ControllerAdmin+"/dump", nil, &d)
+	return d.Holder, err
+}
+
+// engineStatus is the part of an engine's status that is read.
+type engineStatus struct {
+	Models []string `json:"models"`
+}
+
+// NotHolding lists the engines that do not hold just the one model given, as
+// "model@version".
+func (f *Fleet) NotHolding(ctx context.Context, model string) ([]string, error) {
+	var others []string
+	for _, u := range f.Upstreams {
+		if u.Role != roleEngine {
+			continue
+		}
+		var s engineStatus
+		if err := f.control.call(ctx, http.MethodGet, "http://"+u.Address+"/status", nil, &s); err != nil {
+			return nil, err
+		}
+		if len(s.Models) != 1 || s.Models[0] != model {
+			others = append(others, u.Name)
+		}
+	}
+	return others, nil
 }
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -212,7 +212,7 @@
 		return nil
 	}
 	p, err := f.processes.Start(h.Name+"-controller", program,
-		"--host", h.Name+"-controller",
+		"--host", h.Name,
 		"--data-centre", f.Deployment.DataCentres[h.DataCentre],
 		"--admin", h.ControllerAdmin,
 		"--platform", "http://"+f.Network.platformVia[h.DataCentre],
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -63,6 +63,7 @@
 	ConfigInForceSeconds        *float64           `json:"config_in_force_seconds"`
 	LeavingQuietSeconds         *float64           `json:"leaving_quiet_seconds"`
 	OrdersFromOldHolderInEffect *int               `json:"orders_from_old_holder_in_effect"`
+	OrdersReconciledSeconds     *float64           `json:"orders_reconciled_seconds"`
 	StoreCallsPerSecond         map[string]float64 `json:"store_calls_per_second"`
 	ControlBytesPerSecond       map[string]float64 `json:"control_bytes_per_second"`
 	ControlCPUShare             map[string]float64 `json:"control_cpu_share"`
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -94,6 +94,7 @@
 		{"configuration in force s", "at most 5", func(r *Report) string { return number(r.ConfigInForceSeconds) }},
 		{"leaving upstream quiet s", "at most 3", func(r *Report) string { return number(r.LeavingQuietSeconds) }},
 		{"old holder's orders in effect", "0", func(r *Report) string { return count(r.OrdersFromOldHolderInEffect) }},
+		{"orders reconciled after s", "", func(r *Report) string { return number(r.OrdersReconciledSeconds) }},
 		{"store calls/s", "", func(r *Report) string { return sum(r.StoreCallsPerSecond) }},
 		{"control bytes/s, highest node", "at most 3000", func(r *Report) string { return highest(r.ControlBytesPerSecond) }},
 		{"control CPU share, highest node", "at most 0.032", func(r *Report) string { return highest(r.ControlCPUShare) }},
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
 	"github.com/chestnutline/chestnutline/internal/logevent"
 )
 
@@ -56,6 +57,8 @@
 	*measured
 	*follower
 	duration time.Duration
+	// deployment is what the next change declares.
+	deployment workload.Deployment
 	// notes go into the report.
 	notes []string
 	// changes counts the submitted configurations.
@@ -71,7 +74,7 @@
 	if run == nil {
 		return func() {}
 	}
-	st := &stage{measured: m, follower: follow(ctx, m.fleet), duration: m.conditions.Duration}
+	st := &stage{measured: m, follower: follow(ctx, m.fleet), duration: m.conditions.Duration, deployment: m.options.Deployment}
 	ended := make(chan error, 1)
 	go func() { ended <- run(ctx, st) }()
 	return func() {
@@ -111,7 +114,7 @@
 // change submits a configuration that differs from the last, and returns its version.
 func (st *stage) change(ctx context.Context) (uint64, error) {
 	st.changes++
-	c := st.options.Deployment.Configuration()
+	c := st.deployment.Configuration()
 	first := &c.Organisations[0]
 	first.Share += float64(st.changes%2) + 1
 	version, err := st.options.Submitter.Submit(ctx, st.fleet.PlatformURL(), c, st.version)
