--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,7 +27,8 @@
 	leavingWatch = 10 * time.Second
 )
 
-// outage takes the platform down for a while and submits a change after it.
+// outage takes the platform down for a while, in which a host is killed and a
+// fresh one started, and submits a change after it.
 func outage(ctx context.Context, st *stage) error {
 	if err := st.at(ctx, faultBegins); err != nil {
 		return err
@@ -35,6 +37,13 @@
 	if err := st.fleet.SetPlatformFaults(ctx, fleet.PlatformFaults{Down: true}); err != nil {
 		return err
 	}
+	fresh := st.fleet.Hosts[len(st.fleet.Hosts)-1]
+	if err := st.restart(fresh, st.killed); err != nil {
+		return err
+	}
+	if err := st.readyBy(ctx, fresh, faultEnds); err != nil {
+		return err
+	}
 	if err := st.at(ctx, faultEnds); err != nil {
 		return err
 	}
@@ -42,9 +51,27 @@
 	if err := st.fleet.SetPlatformFaults(ctx, fleet.PlatformFaults{}); err != nil {
 		return err
 	}
+	if err := st.putBack(ctx, fresh); err != nil {
+		return err
+	}
 	return st.changeInForce(ctx)
 }
 
+// readyBy notes whether a fresh host is ready before a part of the duration
+// has passed.
+func (st *stage) readyBy(ctx context.Context, h fleet.Host, part float64) error {
+	began := time.Now()
+	limited, cancel := context.WithDeadline(ctx, st.started.Add(time.Duration(part*float64(st.duration))))
+	defer cancel()
+	if st.fleet.RouterReady(limited, h) != nil {
+		st.notes = append(st.notes, "the fresh host "+h.Name+" was not ready while the platform was down")
+		return errors.Wrap(ctx.Err(), "the run was stopped")
+	}
+	st.fleet.PutBack(h.Name)
+	st.notes = append(st.notes, fmt.Sprintf("the fresh host %s was ready %.2f s after its start while the platform was down", h.Name, time.Since(began).Seconds()))
+	return nil
+}
+
 // lostAnswers loses answers of the platform after their calls took effect,
 // while configurations change.
 func lostAnswers(ctx context.Context, st *stage) error {
@@ -150,8 +177,16 @@
 	return nil
 }
 
-// replace ends a host's router and starts a fresh one in its place.
+// replace ends a host's programs and starts fresh ones in their place.
 func (st *stage) replace(ctx context.Context, h fleet.Host, end func(fleet.Host) error) error {
+	if err := st.restart(h, end); err != nil {
+		return err
+	}
+	return st.putBack(ctx, h)
+}
+
+// restart takes a host out of the balancer, ends its programs and starts them afresh.
+func (st *stage) restart(h fleet.Host, end func(fleet.Host) error) error {
 	st.fleet.TakeOut(h.Name)
 	if err := end(h); err != nil {
 		return err
@@ -160,6 +195,11 @@
 	if err := st.fleet.StartRouter(h); err != nil {
 		return err
 	}
+	return st.fleet.StartController(h)
+}
+
+// putBack waits until a host is ready and puts it back behind the balancer.
+func (st *stage) putBack(ctx context.Context, h fleet.Host) error {
 	ready, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	if err := st.fleet.RouterReady(ready, h); err != nil {
@@ -169,29 +209,35 @@
 	return nil
 }
 
+// drained asks a host's programs to stop and waits until they have.
 func (st *stage) drained(h fleet.Host) error {
 	st.tell("host %s is asked to stop", h.Name)
-	router := st.fleet.Router(h.Name)
-	if err := fleet.Drain(router); err != nil {
-		return err
-	}
-	if !router.Wait(drainLimit) {
-		return errors.Errorf("the router of %s did not end within %s of being asked to", h.Name, drainLimit)
+	for _, p := range st.fleet.ProcessesOf(h.Name) {
+		if err := fleet.Drain(p); err != nil {
+			return err
+		}
 	}
-	if err := router.Err(); err != nil {
-		st.notes = append(st.notes, "the router of "+h.Name+" ended with "+err.Error())
+	for _, p := range st.fleet.ProcessesOf(h.Name) {
+		if !p.Wait(drainLimit) {
+			return errors.Errorf("%s did not end within %s of being asked to", p.Name, drainLimit)
+		}
+		if err := p.Err(); err != nil {
+			st.notes = append(st.notes, p.Name+" ended with "+err.Error())
+		}
 	}
 	return nil
 }
 
+// killed ends a host's programs as a power cut does.
 func (st *stage) killed(h fleet.Host) error {
 	st.tell("host %s is killed", h.Name)
 	st.conditions.Killed[h.CallersVia] = true
-	router := st.fleet.Router(h.Name)
-	if err := fleet.Kill(router); err != nil {
-		return err
+	for _, p := range st.fleet.ProcessesOf(h.Name) {
+		if err := fleet.Kill(p); err != nil {
+			return err
+		}
+		p.Wait(startLimit)
 	}
-	router.Wait(startLimit)
 	return nil
 }
 
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -226,11 +226,15 @@
 	return nil
 }
 
-// Router is the newest process of a host's router.
-func (f *Fleet) Router(host string) *Process {
+// ProcessesOf lists the newest processes of a host.
+func (f *Fleet) ProcessesOf(host string) []*Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.routers[host]
+	all := []*Process{f.routers[host]}
+	if p := f.controllers[host]; p != nil {
+		all = append(all, p)
+	}
+	return all
 }
 
 // Controller is the newest process of a host's controller, nil without one.
