Count what must not happen over both phases of a run

Cause: a mixed or late answer in the phase of the shorts alone went uncounted, and false_not_run would have been 0 had request ids never matched. Change: checks cover all outcomes; without a common id the field is null.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -176,21 +176,31 @@
 	}
 }
 
-// checkCounters fills the report with what only the stand-ins know.
+// checkCounters fills the report with what only the stand-ins know. If the
+// request ids of no delivered request are among the stand-ins' counters, the
+// two can't be compared and false_not_run stays unmeasured.
 func checkCounters(r *report.Report, d workload.Deployment, counts fleet.Counts, outcomes []client.Outcome) {
 	left := counts.MemoryHeld() * kvBytesPerToken
 	r.MemoryLeftBytes = &left
 	keys := make(map[string]bool)
-	falseNotRun := 0
+	falseNotRun, comparable := 0, false
 	for _, o := range outcomes {
 		if o.Request.Key != "" {
 			keys[o.Request.Key] = true
 		}
-		if o.Told == client.ToldNotRun && o.RequestID != "" && counts.Ran(o.RequestID) {
+		if o.RequestID == "" || !counts.Ran(o.RequestID) {
+			continue
+		}
+		comparable = comparable || o.Result == client.Delivered
+		if o.Told == client.ToldNotRun {
 			falseNotRun++
 		}
 	}
 	twice := counts.ActionsDoneTwice(d.Actions, len(keys))
 	r.ActionsDoneTwice = &twice
-	r.FalseNotRun = &falseNotRun
+	if comparable {
+		r.FalseNotRun = &falseNotRun
+		return
+	}
+	r.Notes = append(r.Notes, "no delivered request is known to the stand-ins by its id, so false_not_run was not measured")
 }
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -125,10 +125,11 @@
 		{Request: &workload.Request{Key: "a"}, Told: client.ToldNotRun, RequestID: "r1"},
 		{Request: &workload.Request{Key: "a"}, Again: true, Told: client.ToldUnknown, RequestID: "r2"},
 		{Request: &workload.Request{Key: "b"}, Told: client.ToldNotRun, RequestID: "r3"},
+		{Request: &workload.Request{}, Result: client.Delivered, RequestID: "r4"},
 	}
 	counts := fleet.Counts{Services: []fleet.ServiceCount{
 		{RunsByKind: map[string]int{"order": 1}, RunsByRequest: map[string]int{"r1": 1}, RunsByKey: map[string]int{"a": 1}},
-		{RunsByKind: map[string]int{"order": 1}, RunsByRequest: map[string]int{"r2": 1}, RunsByKey: map[string]int{"a": 1}},
+		{RunsByKind: map[string]int{"order": 1}, RunsByRequest: map[string]int{"r2": 1, "r4": 1}, RunsByKey: map[string]int{"a": 1}},
 	}}
 	var r report.Report
 	checkCounters(&r, workload.OrderDesk(), counts, outcomes)
@@ -144,6 +145,16 @@
 	}
 }
 
+func TestNotRunIsNotJudgedWithoutCommonIDs(t *testing.T) {
+	var r report.Report
+	checkCounters(&r, workload.OrderDesk(), fleet.Counts{}, []client.Outcome{
+		{Request: &workload.Request{}, Result: client.Delivered, RequestID: "r1"},
+	})
+	if r.FalseNotRun != nil || len(r.Notes) != 1 {
+		t.Errorf("false not_run %v, notes %v", r.FalseNotRun, r.Notes)
+	}
+}
+
 func TestReversionIsSeenAcrossReplacement(t *testing.T) {
 	w := &follower{newest: make(map[string]fleet.RouterStatus), highest: make(map[string]uint64)}
 	w.note("h", fleet.RouterStatus{ConfigVersion: 5, Ready: true})
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -51,11 +51,13 @@
 		return err
 	}
 	var r report.Report
-	r.Measure(report.Conditions{
+	conditions := report.Conditions{
 		LinkAllowance: 2 * o.Deployment.ClientDelay,
 		Weights:       weights(o.Deployment),
 		Duration:      time.Second,
-	}, outcomes)
+	}
+	r.Measure(conditions, outcomes)
+	r.Check(conditions, outcomes)
 	checkCounters(&r, o.Deployment, counts, outcomes)
 	if err := printOutcomes(w, outcomes); err != nil {
 		return err
@@ -128,6 +130,16 @@
 	return errors.Wrap(table.Flush(), "printing the times to first token")
 }
 
+// notComparable stands for a count that could not be taken.
+const notComparable = -1
+
+func measuredOr(value *int, otherwise int64) int64 {
+	if value == nil {
+		return otherwise
+	}
+	return int64(*value)
+}
+
 // judgeDemo compares what happened with what is promised.
 func judgeDemo(w io.Writer, r *report.Report, outcomes []client.Outcome, orders int) error {
 	undelivered := 0
@@ -144,7 +156,7 @@
 		{"orders carried out", int64(orders), 1},
 		{"answers mixed, gapped or repeated", int64(*r.AnswersMixed), 0},
 		{"requests that ended late", int64(*r.AdmittedLate), 0},
-		{"told not run although run", int64(*r.FalseNotRun), 0},
+		{"told not run although run", measuredOr(r.FalseNotRun, notComparable), 0},
 		{"bytes of KV memory left on engines", *r.MemoryLeftBytes, 0},
 	}
 	fmt.Fprintln(w)
--- a/internal/bench/report/measure.go
+++ b/internal/bench/report/measure.go
@@ -64,26 +64,36 @@
 	Killed map[string]bool
 }
 
-// Measure fills the report with what the callers saw.
+// Measure fills the report with the latencies and shares of the main phase.
 func (r *Report) Measure(c Conditions, outcomes []client.Outcome) {
 	r.measureTTFT(outcomes)
 	r.measureGaps(outcomes)
 	r.measureService(c, outcomes)
 	r.measureDelivered(c, outcomes)
 	r.measureRefusals(outcomes)
-	r.measureLate(c, outcomes)
-	r.measureFaults(outcomes)
 	delays := newLatencies()
+	for _, o := range outcomes {
+		delays.add(o.Sent)
+	}
+	r.DriverDelaySecondsP99 = delays.at(99)
+}
+
+// Check fills the report with what must not happen, over all phases.
+func (r *Report) Check(c Conditions, outcomes []client.Outcome) {
+	r.checkLate(c, outcomes)
+	r.checkAnswers(outcomes)
 	r.Outcomes = make(map[string]int)
+	r.Codes = make(map[string]int)
 	broken := 0
 	for _, o := range outcomes {
+		r.Outcomes[string(o.Result)]++
+		if o.Code != "" {
+			r.Codes[o.Code]++
+		}
 		if o.Result == client.Broken && !c.Killed[o.Address] {
 			broken++
 		}
-		delays.add(o.Sent)
-		r.Outcomes[string(o.Result)]++
 	}
-	r.DriverDelaySecondsP99 = delays.at(99)
 	r.BrokenOff = &broken
 }
 
@@ -212,11 +222,7 @@
 func (r *Report) measureRefusals(outcomes []client.Outcome) {
 	refusals := newLatencies()
 	refused, all := 0.0, 0.0
-	r.Codes = make(map[string]int)
 	for _, o := range outcomes {
-		if o.Code != "" {
-			r.Codes[o.Code]++
-		}
 		if o.Again {
 			continue
 		}
@@ -230,7 +236,7 @@
 	r.RefusalSecondsP95 = refusals.at(95)
 }
 
-func (r *Report) measureLate(c Conditions, outcomes []client.Outcome) {
+func (r *Report) checkLate(c Conditions, outcomes []client.Outcome) {
 	late := 0
 	var latest *float64
 	for _, o := range outcomes {
@@ -245,7 +251,7 @@
 	r.LatestOverrunSeconds = latest
 }
 
-func (r *Report) measureFaults(outcomes []client.Outcome) {
+func (r *Report) checkAnswers(outcomes []client.Outcome) {
 	mixed := 0
 	r.AnswerFaults = make(map[string]int)
 	for _, o := range outcomes {
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -95,12 +95,21 @@
 	again := delivered(workload.ClassService, 0, time.Second)
 	again.Request, again.Again = first.Request, true
 	outcomes = append(outcomes, late, refused, wrong, first, again)
-	var r Report
-	r.Measure(Conditions{
+	conditions := Conditions{
 		Weights:  map[string]float64{"k": 1},
 		Capacity: workload.Capacity{PromptsPerSecond: 8},
 		Duration: time.Second,
-	}, outcomes)
+		Killed:   map[string]bool{"dead": true},
+	}
+	for _, address := range []string{"dead", "alive"} {
+		broken := delivered(workload.ClassService, 0, time.Second)
+		broken.Result, broken.Address, broken.Again = client.Broken, address, true
+		broken.Request.Repeat = &workload.Repeat{}
+		outcomes = append(outcomes, broken)
+	}
+	var r Report
+	r.Measure(conditions, outcomes)
+	r.Check(conditions, outcomes)
 	r.MeasureBaseline(alone)
 	near(t, "p95 of shorts", &r.TTFTSeconds[workload.ClassShort].P95, 0.3)
 	near(t, "between tokens", r.InterTokenSecondsP95, 0.02)
@@ -108,6 +117,9 @@
 	near(t, "in time", r.InTimeShareWeighted, 11.0/14)
 	near(t, "refused", r.RefusedShare, 1.0/14)
 	near(t, "latest overrun", r.LatestOverrunSeconds, 1)
+	if *r.BrokenOff != 1 || r.Outcomes["broken"] != 2 {
+		t.Errorf("broken off %d, outcomes %v", *r.BrokenOff, r.Outcomes)
+	}
 	if *r.AdmittedLate != 1 || *r.AnswersMixed != 1 || r.AnswerFaults["gapped"] != 1 {
 		t.Errorf("late %d, mixed %d, faults %v", *r.AdmittedLate, *r.AnswersMixed, r.AnswerFaults)
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -108,7 +108,9 @@
 	if err := m.end(ctx); err != nil {
 		return err
 	}
+	all := append(append([]client.Outcome(nil), outcomes...), baseline...)
 	m.report.Measure(m.conditions, outcomes)
+	m.report.Check(m.conditions, all)
 	if run == nil {
 		m.report.MeasureBaseline(baseline)
 	}
@@ -116,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	checkCounters(m.report, m.options.Deployment, counts, append(outcomes, baseline...))
+	checkCounters(m.report, m.options.Deployment, counts, all)
 	for _, dead := range m.unexpectedlyDead(run) {
 		m.report.Notes = append(m.report.Notes, "ended during the run: "+dead)
 	}
