Check lease and orders with any order of faults

Found and mended by generated runs: an engine's report counted for others although an order given before could still take effect on it, so that a model's last engine gave it up; loads ordered since the last report were not counted, so that 8 engines loaded at once instead of 4.

--- a/internal/controller/dump.go
+++ b/internal/controller/dump.go
@@ -29,3 +29,8 @@
 		Lease: c.lease.Status(now), Orders: c.order.Dump(now, limit),
 	}
 }
+
+// Holding returns the term of the lease, if it is held now.
+func (c *Core) Holding(now time.Duration) (lease.Term, bool) {
+	return c.lease.Holding(now)
+}
--- /dev/null
+++ b/internal/controller/experiment/check.go
@@ -0,0 +1,72 @@
+package experiment
+
+import (
+	"slices"
+
+	"github.com/chestnutline/chestnutline/internal/controller"
+	"github.com/chestnutline/chestnutline/internal/order"
+)
+
+func orderedEvent(e order.Event) controller.Event { return controller.Ordered{Event: e} }
+
+// served tells which models some engine serves, in the configuration's order.
+func (w *World) served() []bool {
+	served := make([]bool, len(w.accepted.Models))
+	for i, m := range w.accepted.Models {
+		served[i] = slices.ContainsFunc(w.engines, func(e *engine) bool { return e.serves(m.Name) })
+	}
+	return served
+}
+
+// checkServed checks that an order took no model from its last engine.
+func (w *World) checkServed(before []bool, e *engine, s order.Send) {
+	for i, still := range w.served() {
+		if before[i] && !still {
+			w.violate("no engine serves %s after %s unloaded %v", w.accepted.Models[i].Name, e.name, s.Unload)
+		}
+	}
+}
+
+func (w *World) countLoading() {
+	n := 0
+	for _, e := range w.engines {
+		if e.alive() && len(e.status().Loading) > 0 {
+			n++
+		}
+	}
+	w.Result.MostLoading = max(w.Result.MostLoading, n)
+}
+
+// checkSettled checks that the engines hold what is wanted, and no other version.
+func (w *World) checkSettled() {
+	desired := order.DesiredOf(dataCentre, w.version, w.accepted)
+	for _, m := range desired.Models {
+		ready := 0
+		for _, e := range w.engines {
+			if slices.Contains(e.status().Models, m.Name+"@"+m.Version) {
+				ready++
+			}
+		}
+		if least := m.Engines; ready < least || least == 0 && ready < len(w.engines) {
+			w.violate("%s@%s is on %d engines of %d wanted", m.Name, m.Version, ready, least)
+		}
+	}
+	for _, e := range w.engines {
+		s := e.status()
+		for _, held := range append(s.Models, s.Loading...) {
+			if !w.wanted(held, desired) {
+				w.violate("%s still holds %s", e.name, held)
+			}
+		}
+	}
+}
+
+func (w *World) wanted(held string, d order.Desired) bool {
+	for _, m := range d.Models {
+		base := m.Name + "@" + m.Version
+		if held == base || slices.ContainsFunc(m.Adapters, func(a string) bool { return held == base+"+"+a }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/order/core.go
+++ b/internal/order/core.go
@@ -27,6 +27,8 @@
 	desired Desired
 	// engines is ordered by name.
 	engines []*state
+	// planAt is when the plan is due again without news.
+	planAt time.Duration
 	// absent lists the wanted models that no engine holds, ordered.
 	absent []string
 }
@@ -52,21 +54,34 @@
 		c.holding = false
 	case Want:
 		c.want(e.Desired)
+		c.planAt = now
 	case Listed:
 		c.list(now, e.Engines)
 	case StatusRead:
 		c.statusRead(now, e)
+		c.planAt = now
 	case OrderDone:
 		c.orderDone(now, e)
+		c.planAt = now
 	}
-	if c.holding {
-		c.readDue(now)
-		c.bar(now)
-		c.plan(now)
-	}
+	c.proceed(now)
 	return c.effects
 }
 
+// proceed reads, bars and plans as far as it is due.
+func (c *Core) proceed(now time.Duration) {
+	if !c.holding {
+		return
+	}
+	c.readDue(now)
+	if now < c.planAt {
+		return
+	}
+	c.planAt = now + c.cfg.ActiveEvery
+	c.bar(now)
+	c.plan(now)
+}
+
 // InFlight is the number of orders whose answer is awaited.
 func (c *Core) InFlight() int {
 	n := 0
--- a/internal/order/desired.go
+++ b/internal/order/desired.go
@@ -26,6 +26,8 @@
 	Adapters []string
 	// Engines is the least number of engines; 0 means all.
 	Engines int
+	// names is what held returns.
+	names []string
 }
 
 // DesiredOf returns what a configuration wants of a data centre.
@@ -36,9 +38,9 @@
 	for _, m := range c.Models {
 		for _, p := range m.Placements {
 			if p.DataCentre == dataCentre {
-				d.Models = append(d.Models, Model{
-					Name: m.Name, Version: m.Version, Adapters: slices.Clone(m.Adapters), Engines: p.Engines,
-				})
+				wanted := Model{Name: m.Name, Version: m.Version, Adapters: slices.Clone(m.Adapters), Engines: p.Engines}
+				wanted.names = wanted.held()
+				d.Models = append(d.Models, wanted)
 			}
 		}
 	}
@@ -48,12 +50,18 @@
 
 // base is the name under which engines hold the model itself.
 func (m Model) base() string {
+	if m.names != nil {
+		return m.names[0]
+	}
 	return m.Name + "@" + m.Version
 }
 
 // held lists the names under which engines hold the model and its adapters,
 // the model first.
 func (m Model) held() []string {
+	if m.names != nil {
+		return m.names
+	}
 	names := []string{m.base()}
 	for _, a := range m.Adapters {
 		names = append(names, m.base()+"+"+a)
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -7,6 +7,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// verifiedFor is how long a report proves that an engine serves a model when
+// another engine is to give it up, as a multiple of ActiveEvery.
+const verifiedFor = 2
+
 // placed is a wanted model with the engines that are to hold it.
 type placed struct {
 	Model
@@ -25,7 +29,7 @@
 	c.noteAbsent(all)
 	for _, s := range c.engines {
 		if c.mayOrder(s) && s.barrierDone() {
-			if unload := c.unwanted(s, all); len(unload) > 0 {
+			if unload := c.unwanted(now, s, all); len(unload) > 0 {
 				c.send(now, s, nil, unload)
 			}
 		}
@@ -59,7 +63,7 @@
 		p := placed{Model: m, engines: choose(m, usable, duties)}
 		for _, s := range p.engines {
 			duties[s.Name]++
-			if s.ready(m) {
+			if s.steady() && s.ready(m) {
 				p.ready++
 			}
 		}
@@ -118,7 +122,7 @@
 }
 
 // unwanted lists what the engine may give up now.
-func (c *Core) unwanted(s *state, all []placed) []string {
+func (c *Core) unwanted(now time.Duration, s *state, all []placed) []string {
 	var list []string
 	for _, held := range s.status.Loading {
 		if c.declared(held) == foreign || c.declared(held) == otherVersion {
@@ -130,7 +134,7 @@
 		case foreign:
 			list = append(list, held)
 		case otherVersion:
-			if replaced(held, s, all) {
+			if c.replaced(now, held, s, all) {
 				list = append(list, held)
 			}
 		}
@@ -164,17 +168,28 @@
 
 // replaced says whether an older version may go: the engine itself serves the
 // wanted one, or it has no duty for the model and all engines that have serve it.
-func replaced(held string, s *state, all []placed) bool {
+func (c *Core) replaced(now time.Duration, held string, s *state, all []placed) bool {
 	name, _, _ := split(held)
-	for _, p := range all {
-		if p.Name != name {
-			continue
-		}
-		if s.ready(p.Model) {
+	i := slices.IndexFunc(all, func(p placed) bool { return p.Name == name })
+	if i < 0 {
+		return false
+	}
+	p := all[i]
+	if s.ready(p.Model) {
+		return true
+	}
+	return p.ready > 0 && p.ready == len(p.engines) && c.verified(now, p)
+}
+
+// verified says whether an engine was lately seen to serve a model, and has
+// one asked otherwise.
+func (c *Core) verified(now time.Duration, p placed) bool {
+	for _, s := range p.engines {
+		if now-s.statusAt <= verifiedFor*c.cfg.ActiveEvery {
 			return true
 		}
-		return !slices.Contains(p.engines, s) && p.ready > 0 && p.ready == len(p.engines)
 	}
+	p.engines[0].due = min(p.engines[0].due, now)
 	return false
 }
 
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -9,15 +9,15 @@
 		s.status.LastFencing <= c.term.Fencing
 }
 
-// barrierDone says whether no order of an earlier holder can take effect on
-// the engine any more.
+// barrierDone says whether no order given before can take effect on the engine
+// any more: neither one of an earlier holder nor one whose answer was lost.
 func (s *state) barrierDone() bool {
-	return s.barred || s.barriers >= maxBarriers
+	return !s.unsettled && (s.barred || s.barriers >= maxBarriers)
 }
 
-// bar sends an empty order to each engine that has not reported this term's
-// number. Like any order it takes the ID that an order of an earlier holder
-// must have to take effect.
+// bar sends an empty order to each engine on which an order given before may
+// still take effect. Like any order it takes the ID that such an order must
+// have.
 func (c *Core) bar(now time.Duration) {
 	for _, s := range c.engines {
 		if c.mayOrder(s) && !s.barrierDone() {
@@ -29,6 +29,7 @@
 func (c *Core) send(now time.Duration, s *state, load, unload []string) {
 	s.pending = &pending{token: c.nextToken(), load: load, unload: unload}
 	s.fresh = false
+	s.loadSent = s.loadSent || len(load) > 0
 	c.emit(Send{
 		Engine:   s.Name,
 		Address:  s.Address,
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -19,17 +19,26 @@
 // state is what is believed of one engine.
 type state struct {
 	Engine
-	// due is when the status is read next; reading says that token's read is
-	// in flight.
+	// due is when the status is read next; reading says that token's read,
+	// asked at askedAt, is in flight.
 	due      time.Duration
 	reading  bool
 	token    uint64
+	askedAt  time.Duration
 	failures int
 
 	// known says that status was read in this term, fresh that no order was
 	// sent since.
 	known, fresh bool
 	status       Status
+	// statusAt is when the report was asked for.
+	statusAt time.Duration
+	// loadSent says that a load was ordered since the report.
+	loadSent bool
+	// unsettled says that an order of this term may still be run, as long as
+	// the engine's last order is the one named by unsettledAfter.
+	unsettled      bool
+	unsettledAfter string
 	// barriers counts the empty orders answered since the engine last
 	// reported this term's number; barred says that it has reported it.
 	barriers int
@@ -57,7 +66,13 @@
 
 // busy says whether the engine loads anything.
 func (s *state) busy() bool {
-	return len(s.status.Loading) > 0 || s.pending != nil && len(s.pending.load) > 0
+	return len(s.status.Loading) > 0 || s.loadSent
+}
+
+// steady says whether the engine holds what it reported until it gets another
+// order or dies.
+func (s *state) steady() bool {
+	return s.fresh && s.barrierDone()
 }
 
 // hasOther says whether the engine serves another version of a model.
@@ -109,7 +124,7 @@
 			continue
 		}
 		s.reading = true
-		s.token = c.nextToken()
+		s.token, s.askedAt = c.nextToken(), now
 		c.emit(ReadStatus{Engine: s.Name, Address: s.Address, Token: s.token})
 	}
 }
@@ -140,8 +155,11 @@
 	if len(s.status.Loading) == 0 || !s.known {
 		s.loadingSince = now
 	}
-	s.known, s.fresh = true, true
-	s.status = report
+	s.known, s.fresh, s.loadSent = true, true, false
+	s.status, s.statusAt = report, s.askedAt
+	if report.LastOrder != s.unsettledAfter {
+		s.unsettled = false
+	}
 	barred := report.LastFencing == c.term.Fencing
 	if s.barred && !barred {
 		s.barriers = 0
@@ -188,7 +206,10 @@
 		if empty {
 			s.barriers++
 		}
-	case NotRun, Unknown, Fenced:
+	case Unknown:
+		s.unsettled, s.unsettledAfter = true, s.status.LastOrder
+		s.due = now + c.jitter(c.cfg.ActiveEvery)
+	case NotRun, Fenced:
 		s.due = now + c.jitter(c.cfg.ActiveEvery)
 	}
 }
