Check claims whose messages to owners come twice

Change: repeated messages in the simulated runs, a test that a copy which expires does not give back the grant of the first. Conclusion: nothing runs twice; a copy that comes after a claim was given back may leave the key blocked, which Peers' contract says.

--- a/internal/claim/experiment/config.go
+++ b/internal/claim/experiment/config.go
@@ -75,8 +75,9 @@
 	// Late is the probability that a request or an answer takes up to LateTime longer.
 	Late     float64
 	LateTime time.Duration
-	// LoseHop is per message between hosts; LateTime delays them as well.
-	LoseHop float64
+	// LoseHop and RepeatHop are per message between hosts; LateTime delays them as well.
+	LoseHop   float64
+	RepeatHop float64
 	// DownEvery and DownFor give outages of the store.
 	DownEvery time.Duration
 	DownFor   time.Duration
--- a/internal/claim/experiment/host.go
+++ b/internal/claim/experiment/host.go
@@ -155,6 +155,9 @@
 	if w.chance(w.config.Faults.LoseHop) {
 		return
 	}
+	if w.chance(w.config.Faults.RepeatHop) {
+		w.after(w.config.Hop+w.upTo(w.config.Faults.LateTime), to.alive(f))
+	}
 	d := w.config.Hop
 	if w.chance(w.config.Faults.Late) {
 		d += w.upTo(w.config.Faults.LateTime)
--- a/internal/claim/experiment/once_test.go
+++ b/internal/claim/experiment/once_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// TestRepeatedMessagesRunNothingTwice delivers messages to owners twice. A copy
+// that comes after its claim was given back may block the key, so only
+// executions are checked.
+func TestRepeatedMessagesRunNothingTwice(t *testing.T) {
+	for seed := range uint64(40) {
+		c := hostile(seed)
+		c.Owners = true
+		c.MisrouteShare = 0.2
+		c.Faults.LoseHop = 0.1
+		c.Faults.RepeatHop = 0.3
+		w := Run(c)
+		for key, ran := range w.Executions() {
+			for _, v := range executionFaults(key, w.History(), ran) {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+		}
+	}
+}
+
 // TestRingOfWindowsUnderFaults has a ring of three short windows, so that
 // repeats come while their window's objects are used anew.
 func TestRingOfWindowsUnderFaults(t *testing.T) {
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -14,7 +14,8 @@
 var ErrNotSent = errors.New("request to the owner was not sent")
 
 // Peers is the way to the hosts that write shard objects. Hosts may disagree
-// about owners, and messages may be lost, late or delivered to dead hosts.
+// about owners, and messages may be
+// lost or late. One that is delivered twice may leave a key blocked, never run twice.
 type Peers interface {
 	// Owner returns the address of the host that writes the object, or "" for
 	// this host or if none is known. It must not block.
--- a/internal/claim/shard/forward_test.go
+++ b/internal/claim/shard/forward_test.go
@@ -41,3 +41,21 @@
 	g.Expect(refused.NotStored).To(BeFalse())
 	g.Expect(c.Waiting()).To(BeZero())
 }
+
+// TestClaimDeliveredTwice has the second copy expire while the write is in
+// flight: the grant to the first must stay.
+func TestClaimDeliveredTwice(t *testing.T) {
+	g := NewWithT(t)
+	c := shard.New(testConfig())
+	first, second := claimOf(1), claimOf(1)
+	first.Forwarded, second.Forwarded = true, true
+	second.Expires = 1
+	c.Step(0, first)
+	c.Step(0, second)
+	pick[shard.Write](g, c.Step(0, shard.ReadDone{Result: shard.NotFound}))
+	c.Step(1, shard.Tick{})
+	effects := c.Step(1, shard.WriteDone{Result: shard.OK, Version: 1})
+	g.Expect(pick[shard.Answer](g, effects).Decision).To(Equal(shard.Granted))
+	g.Expect(effects).NotTo(ContainElement(BeAssignableToTypeOf(shard.Write{})))
+	g.Expect(c.Idle()).To(BeTrue())
+}
