--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -122,12 +122,18 @@
 	for _, dead := range m.unexpectedlyDead(run) {
 		m.report.Notes = append(m.report.Notes, "ended during the run: "+dead)
 	}
+	if late := m.report.DriverDelaySecondsP99; late != nil && *late > driverLate.Seconds() {
+		m.report.Notes = append(m.report.Notes, fmt.Sprintf("the bench itself sent %.3f s late (p99): the machine was too busy, and the times measure it", *late))
+	}
 	if len(outcomes) < len(m.plan) {
 		m.report.Notes = append(m.report.Notes, fmt.Sprintf("%d of %d requests were sent", len(outcomes), len(m.plan)))
 	}
 	return nil
 }
 
+// driverLate is how late the bench may send for the times to be worth anything.
+const driverLate = 50 * time.Millisecond
+
 func (m *measured) unexpectedlyDead(run scenario) []string {
 	if run != nil {
 		return nil
