Skip the IDs that late orders have used up

An engine that forgot its orders may run late ones of its earlier life, lower in number than its last one.

--- a/internal/controller/experiment/experiment_test.go
+++ b/internal/controller/experiment/experiment_test.go
@@ -161,3 +161,13 @@
 		t.Fatalf("%d acquisitions, %d orders fenced, %d duplicate", holders, fenced, duplicate)
 	}
 }
+
+// TestUsedUpIDsAreSkipped is a run in which orders of an engine's earlier life
+// come late and use up IDs that a later order would have taken.
+func TestUsedUpIDsAreSkipped(t *testing.T) {
+	c := troubled(0x68a890242ba4d4)
+	c.Faults.EngineDieEvery, c.Faults.EngineDeadFor = 20*time.Second, 20*time.Second
+	if r := Run(c).Result; len(r.Violations) > 0 || r.Duplicate > r.Orders {
+		t.Fatal(report(r))
+	}
+}
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -39,8 +39,12 @@
 	// the engine's last order is the one named by unsettledAfter.
 	unsettled      bool
 	unsettledAfter string
-	// barriers counts the empty orders answered since the engine last
-	// reported this term's number; barred says that it has reported it.
+	// answered says that an order was answered as taken since the report, and
+	// skip how many IDs behind the last order are known to be used up.
+	answered bool
+	skip     uint64
+	// barriers counts the orders that the engine has run without reporting
+	// this term's number; barred says that it reports it.
 	barriers int
 	barred   bool
 	// loadingSince is when the loads in progress were first seen.
@@ -98,13 +102,13 @@
 func (s *state) nextID() string {
 	last := s.status.LastOrder
 	if last == "" {
-		return idPrefix + "1"
+		return idPrefix + strconv.FormatUint(1+s.skip, 10)
 	}
 	n, err := strconv.ParseUint(strings.TrimPrefix(last, idPrefix), 10, 62)
 	if err != nil {
 		n = xxhash.Sum64String(last) >> 8
 	}
-	return idPrefix + strconv.FormatUint(n+1, 10)
+	return idPrefix + strconv.FormatUint(n+1+s.skip, 10)
 }
 
 // dead says whether the engine has ceased to answer.
@@ -155,6 +159,7 @@
 	if len(s.status.Loading) == 0 || !s.known {
 		s.loadingSince = now
 	}
+	s.count(report)
 	s.known, s.fresh, s.loadSent = true, true, false
 	s.status, s.statusAt = report, s.askedAt
 	if report.LastOrder != s.unsettledAfter {
@@ -162,18 +167,33 @@
 	}
 	barred := report.LastFencing == c.term.Fencing
 	if s.barred && !barred {
-		s.barriers = 0
 		c.emit(EngineReset{Engine: s.Name})
 	}
-	s.barred = barred
-	if barred {
+	if barred || s.barred {
 		s.barriers = 0
 	}
+	s.barred = barred
 	if report.LastFencing > c.term.Fencing {
 		c.emit(Outdated{Engine: s.Name, Fencing: report.LastFencing})
 	}
 }
 
+// count compares a report with the one before the last order. An order that was
+// answered as taken and is not the last one had an ID that was used up before,
+// as a late order may do to an engine that forgot its orders.
+func (s *state) count(report Status) {
+	switch {
+	case s.known && report.LastOrder != s.status.LastOrder:
+		s.skip = 0
+		if s.answered {
+			s.barriers++
+		}
+	case s.answered:
+		s.skip++
+	}
+	s.answered = false
+}
+
 func (c *Core) readFailed(now time.Duration, s *state) {
 	s.failures++
 	s.fresh = false
@@ -197,15 +217,12 @@
 	if s == nil || s.pending == nil || s.pending.token != e.Token {
 		return
 	}
-	empty := len(s.pending.load)+len(s.pending.unload) == 0
 	s.pending = nil
 	s.fresh = false
 	s.due = now
 	switch e.Outcome {
 	case Taken:
-		if empty {
-			s.barriers++
-		}
+		s.answered = true
 	case Unknown:
 		s.unsettled, s.unsettledAfter = true, s.status.LastOrder
 		s.due = now + c.jitter(c.cfg.ActiveEvery)
