Follow the manifest by a watch and keep versions that still load

A controller at the aim's size would have read the manifest of 8 KB and the whole list of hosts every two seconds. The manifest is watched, unchanged parts are kept, and the list is read at a bounded number of entries a second.

A generated run found that an order to give up a version still loading may arrive once it is served, and alone; such versions now go like served ones.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -48,6 +48,8 @@
 	configuration   errand
 	hosts           errand
 	candidates      int
+	// entries is the length of the list of hosts.
+	entries int
 
 	stopping  bool
 	releasing bool
@@ -162,7 +164,7 @@
 	}
 	if c.held && !c.configuration.inCall && now >= c.configuration.due {
 		c.configuration = errand{inCall: true, sent: now}
-		c.emit(ReadConfiguration{Above: c.version})
+		c.emit(ReadConfiguration{Above: c.version, Wait: c.cfg.WatchWait})
 	}
 }
 
@@ -184,7 +186,7 @@
 			entries++
 		}
 	}
-	c.candidates = max(1, entries)
+	c.candidates, c.entries = max(1, entries), len(e.Hosts)
 	c.stepLease(now, lease.Candidates{Count: c.candidates})
 	c.stepOrder(now, order.Listed{Engines: engines})
 }
@@ -199,20 +201,26 @@
 	return order.Engine{Name: h.Name, Address: h.Address, Leaving: h.Leaving}
 }
 
+// hostsWait is the mean time between two reads of the list of hosts.
 func (c *Core) hostsWait() time.Duration {
 	if c.held {
-		return c.cfg.HostsEvery
+		return max(c.cfg.HostsEvery, perSecond(c.entries, c.cfg.HolderEntries))
 	}
-	scaled := time.Duration(float64(c.candidates) / c.cfg.HostsRate * float64(time.Second))
-	return max(c.cfg.HostsEvery, scaled)
+	return max(c.cfg.HostsEvery, perSecond(c.entries, c.cfg.CandidateEntries), perSecond(c.candidates, c.cfg.CandidateReads))
+}
+
+// perSecond is the time that n take at a rate.
+func perSecond(n int, rate float64) time.Duration {
+	return time.Duration(float64(n) / rate * float64(time.Second))
 }
 
 // configurationRead takes a configuration whose version is above the one that
 // this process goes by. One below it is no ground for orders.
 func (c *Core) configurationRead(now time.Duration, e ConfigurationRead) {
 	sent := c.configuration.sent
-	c.configuration = errand{due: now + c.jitter(c.cfg.ConfigurationEvery)}
+	c.configuration = errand{due: now}
 	if e.Failed || e.Version < c.version || e.Version == 0 {
+		c.configuration.due = now + c.jitter(c.cfg.RetryEvery)
 		return
 	}
 	if e.Configuration != nil && e.Version > c.version {
--- a/internal/controller/event.go
+++ b/internal/controller/event.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/chestnutline/chestnutline/intent"
 	"github.com/chestnutline/chestnutline/internal/lease"
 	"github.com/chestnutline/chestnutline/internal/order"
@@ -56,9 +58,12 @@
 // ReadHosts asks for the platform's list of hosts.
 type ReadHosts struct{}
 
-// ReadConfiguration asks for the accepted configuration if its version is
-// above the one given.
-type ReadConfiguration struct{ Above uint64 }
+// ReadConfiguration asks for the accepted configuration once its version is
+// above the one given, and for the version alone when Wait has passed without.
+type ReadConfiguration struct {
+	Above uint64
+	Wait  time.Duration
+}
 
 // Configured tells that the holder goes by a configuration.
 type Configured struct{ Version uint64 }
--- a/internal/controller/experiment/config.go
+++ b/internal/controller/experiment/config.go
@@ -12,6 +12,8 @@
 	Seed       uint64
 	Candidates int
 	Engines    int
+	// Elsewhere is how many entries of other data centres the list of hosts has.
+	Elsewhere int
 	// ChecksFencing makes the engines refuse old fencing numbers.
 	ChecksFencing bool
 	// Length is how long faults and changes go on; Settle follows without any.
--- a/internal/controller/experiment/experiment_test.go
+++ b/internal/controller/experiment/experiment_test.go
@@ -171,3 +171,14 @@
 		t.Fatal(report(r))
 	}
 }
+
+// TestLoadingVersionsAreKept is a run in which an order to give up a version
+// that was still loading came once the version was served, and alone.
+func TestLoadingVersionsAreKept(t *testing.T) {
+	c := troubled(0xf0b3dfec6c0)
+	c.ChecksFencing = false
+	c.Faults.EngineDieEvery, c.Faults.EngineDeadFor = 20*time.Second, 20*time.Second
+	if r := Run(c).Result; len(r.Violations) > 0 {
+		t.Fatal(report(r))
+	}
+}
--- a/internal/controller/experiment/host.go
+++ b/internal/controller/experiment/host.go
@@ -148,15 +148,28 @@
 	case controller.ReadHosts:
 		w.store.call(func() reply { return reply{} }, h.answer(h.hostsRead))
 	case controller.ReadConfiguration:
-		var read controller.ConfigurationRead
+		h.readConfiguration(f)
+	}
+}
+
+// readConfiguration waits like a watch, and looks at the end of the wait.
+func (h *host) readConfiguration(f controller.ReadConfiguration) {
+	w := h.world
+	var read controller.ConfigurationRead
+	done := h.answer(func(r reply) {
+		read.Failed = r.result != lease.OK
+		h.step(read)
+	})
+	wait := f.Wait
+	if f.Above < w.version {
+		wait = 0
+	}
+	w.after(wait, func() {
 		w.store.call(func() reply {
 			read = w.store.configuration(f.Above)
 			return reply{}
-		}, h.answer(func(r reply) {
-			read.Failed = r.result != lease.OK
-			h.step(read)
-		}))
-	}
+		}, done)
+	})
 }
 
 func (h *host) hostsRead(r reply) {
--- a/internal/controller/experiment/store.go
+++ b/internal/controller/experiment/store.go
@@ -87,21 +87,16 @@
 	return reply{result: lease.Conflict}
 }
 
-// manifestBytes is the size of the manifest of a small configuration; at the
-// aim's size it is that of a hash for each part.
-const manifestBytes = 400
-
 func (s *store) configuration(above uint64) controller.ConfigurationRead {
 	w := s.world
 	w.Result.Reads["manifest"]++
-	w.Result.Bytes += manifestBytes
 	read := controller.ConfigurationRead{Version: w.version}
 	if w.version > above {
 		c := w.accepted
 		read.Configuration = &c
-		w.Result.Reads["configuration"] += 2
+		w.Result.Reads["part"]++
 		if body, err := json.Marshal(c); err == nil {
-			w.Result.Bytes += manifestBytes + len(body)
+			w.Result.Bytes += len(body)
 		}
 	}
 	return read
@@ -117,6 +112,9 @@
 	for _, e := range w.engines {
 		hosts = append(hosts, platform.Host{Name: e.name, Address: e.name, DataCentre: dataCentre, Role: "engine"})
 	}
+	for range w.config.Elsewhere {
+		hosts = append(hosts, platform.Host{Name: "engine-elsewhere", DataCentre: "elsewhere", Role: "engine"})
+	}
 	w.Result.Bytes += listBytes(hosts)
 	return hosts
 }
--- a/internal/controller/process/calls.go
+++ b/internal/controller/process/calls.go
@@ -6,8 +6,6 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutline/chestnutline/internal/configuration"
-	"github.com/chestnutline/chestnutline/internal/configuration/registry"
 	"github.com/chestnutline/chestnutline/internal/controller"
 	"github.com/chestnutline/chestnutline/internal/engine"
 	"github.com/chestnutline/chestnutline/internal/lease"
@@ -17,13 +15,13 @@
 )
 
 func (p *Process) readLease(ctx context.Context) {
-	p.metrics.Count("store_calls_total", 1, "kind", "get", "object", "lease")
+	p.countCall("get", "lease")
 	o, err := p.store.Get(ctx, lease.Key(p.settings.DataCentre))
 	p.post(controller.Leased{Event: lease.ReadDone{Result: resultOf(err), Value: o.Value, Version: o.Version}})
 }
 
 func (p *Process) writeLease(ctx context.Context, w lease.Write) {
-	p.metrics.Count("store_calls_total", 1, "kind", "put", "object", "lease")
+	p.countCall("put", "lease")
 	o, err := p.store.Put(ctx, lease.Key(p.settings.DataCentre), w.Value, w.Base)
 	p.post(controller.Leased{Event: lease.WriteDone{Result: resultOf(err), Version: o.Version}})
 }
@@ -44,7 +42,7 @@
 }
 
 func (p *Process) readHosts(ctx context.Context) {
-	p.metrics.Count("store_calls_total", 1, "kind", "hosts", "object", "hosts")
+	p.countCall("hosts", "hosts")
 	hosts, err := p.store.Hosts(ctx)
 	if err != nil {
 		logevent.ControllerHostList.Emit(p.log, log.Fields{"error": err.Error()})
@@ -52,12 +50,11 @@
 	p.post(controller.HostsRead{Failed: err != nil, Hosts: hosts})
 }
 
-// readConfiguration reads the manifest, and the parts if its version is above
-// the one given.
-func (p *Process) readConfiguration(ctx context.Context, above uint64) {
+// readConfiguration follows the accepted configuration by one call.
+func (p *Process) readConfiguration(ctx context.Context, f controller.ReadConfiguration) {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
-	read, err := p.configurationAbove(ctx, above)
+	read, err := p.follower.read(ctx, f)
 	if err != nil {
 		logevent.ControllerConfigurationUnread.Emit(p.log, log.Fields{"error": err.Error()})
 		read = controller.ConfigurationRead{Failed: true}
@@ -65,29 +62,6 @@
 	p.post(read)
 }
 
-func (p *Process) configurationAbove(ctx context.Context, above uint64) (controller.ConfigurationRead, error) {
-	p.metrics.Count("store_calls_total", 1, "kind", "get", "object", "manifest")
-	o, err := p.store.Get(ctx, configuration.ManifestKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return controller.ConfigurationRead{}, nil
-	}
-	if err != nil {
-		return controller.ConfigurationRead{}, errors.Wrap(err, "read the manifest")
-	}
-	m, err := configuration.ParseManifest(o.Value)
-	if err != nil || m.Change.Version <= above {
-		return controller.ConfigurationRead{Version: m.Change.Version}, err
-	}
-	accepted, err := registry.Read(ctx, p.store)
-	if err != nil {
-		return controller.ConfigurationRead{}, err
-	}
-	p.metrics.Count("store_calls_total", int64(1+len(accepted.Manifest.Parts)), "kind", "get", "object", "configuration")
-	return controller.ConfigurationRead{
-		Version: accepted.Manifest.Change.Version, Configuration: &accepted.Configuration,
-	}, nil
-}
-
 func (p *Process) readStatus(ctx context.Context, r order.ReadStatus) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
--- a/internal/controller/process/effects.go
+++ b/internal/controller/process/effects.go
@@ -22,7 +22,7 @@
 	case controller.ReadHosts:
 		p.call(p.readHosts)
 	case controller.ReadConfiguration:
-		p.call(func(ctx context.Context) { p.readConfiguration(ctx, f.Above) })
+		p.call(func(ctx context.Context) { p.readConfiguration(ctx, f) })
 	case controller.Configured:
 		p.metrics.Gauge("configuration_version", float64(f.Version))
 		logevent.ControllerConfigured.Emit(p.log, log.Fields{"version": f.Version})
--- a/internal/controller/process/process.go
+++ b/internal/controller/process/process.go
@@ -45,6 +45,7 @@
 	engines  *engine.HTTPClient
 	admin    *admin.Server
 	metrics  *telemetry.Set
+	follower *follower
 
 	events chan controller.Event
 	dumps  chan func(*controller.Core)
@@ -86,10 +87,16 @@
 		stopped:  make(chan struct{}),
 	}
 	p.life, p.cancel = context.WithCancel(context.Background())
+	p.follower = newFollower(store, p.countCall)
 	p.admin = admin.NewServer(p, p.metrics, nil)
 	return p, nil
 }
 
+// countCall counts one call to the object API.
+func (p *Process) countCall(kind, object string) {
+	p.metrics.Count("store_calls_total", 1, "kind", kind, "object", object)
+}
+
 // post hands an event to the control thread, and gives up when that has ended.
 func (p *Process) post(e controller.Event) {
 	select {
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -121,15 +121,11 @@
 	return 4
 }
 
-// unwanted lists what the engine may give up now.
+// unwanted lists what the engine may give up now. What still loads may be
+// served by the time that the order arrives.
 func (c *Core) unwanted(now time.Duration, s *state, all []placed) []string {
 	var list []string
-	for _, held := range s.status.Loading {
-		if c.declared(held) == foreign || c.declared(held) == otherVersion {
-			list = append(list, held)
-		}
-	}
-	for _, held := range s.status.Models {
+	for _, held := range slices.Concat(s.status.Loading, s.status.Models) {
 		switch c.declared(held) {
 		case foreign:
 			list = append(list, held)
