Measure what controllers cost at three sizes

Measure drives the reducers in simulated time. Planning on every report of an engine would take most of the holder's time at the aim's size; it now follows changes, and runs once a second otherwise.

--- /dev/null
+++ b/internal/controller/experiment/measure_test.go
@@ -0,0 +1,32 @@
+package experiment
+
+import "testing"
+
+// The controllers of 16 data centres may take a twentieth of the object API,
+// which takes 2000 reads and, at the least, 300 writes a second.
+const (
+	readsBound  = 2000.0 / 20 / 16
+	writesBound = 300.0 / 20 / 16
+)
+
+// TestCostFitsTheObjectAPI measures today's sizes, one between, and the aim's.
+func TestCostFitsTheObjectAPI(t *testing.T) {
+	sizes := []Size{
+		{Candidates: 2, Engines: 6, Elsewhere: 21},
+		{Candidates: 8, Engines: 80, Elsewhere: 200},
+		{Candidates: 30, Engines: 331, Elsewhere: 5400},
+	}
+	if testing.Short() {
+		sizes = sizes[:2]
+	}
+	for _, size := range sizes {
+		c := Measure(size, 1)
+		t.Logf("%+v", c)
+		if c.StoreReads > readsBound || c.StoreWrites > writesBound {
+			t.Errorf("%+v: %.2f reads and %.2f writes a second", size, c.StoreReads, c.StoreWrites)
+		}
+		if c.TakeoverSeconds == 0 || c.RolloutSeconds == 0 {
+			t.Errorf("%+v: nothing was measured", size)
+		}
+	}
+}
--- a/internal/order/core.go
+++ b/internal/order/core.go
@@ -59,7 +59,6 @@
 		c.list(now, e.Engines)
 	case StatusRead:
 		c.statusRead(now, e)
-		c.planAt = now
 	case OrderDone:
 		c.orderDone(now, e)
 		c.planAt = now
@@ -77,7 +76,7 @@
 	if now < c.planAt {
 		return
 	}
-	c.planAt = now + c.cfg.ActiveEvery
+	c.planAt = now + c.cfg.ReadMin
 	c.bar(now)
 	c.plan(now)
 }
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -147,6 +147,9 @@
 		c.emit(EngineNoted{Engine: s.Name})
 	}
 	s.failures = 0
+	if !s.fresh || !s.status.equal(e.Status) {
+		c.planAt = now
+	}
 	c.learn(now, s, e.Status)
 	s.due = now + c.jitter(c.idle())
 	if s.busy() {
@@ -154,6 +157,11 @@
 	}
 }
 
+func (s Status) equal(other Status) bool {
+	return s.LastOrder == other.LastOrder && s.LastFencing == other.LastFencing &&
+		slices.Equal(s.Models, other.Models) && slices.Equal(s.Loading, other.Loading)
+}
+
 // learn takes an engine's report.
 func (c *Core) learn(now time.Duration, s *state, report Status) {
 	if len(s.status.Loading) == 0 || !s.known {
@@ -198,6 +206,7 @@
 	s.failures++
 	s.fresh = false
 	if s.failures == c.cfg.DeadAfter {
+		c.planAt = now
 		c.emit(EngineNoted{Engine: s.Name, Dead: true})
 	}
 	s.due = now + c.jitter(c.cfg.ActiveEvery)
