Measure what the parts cost at several sizes

The aim's size was known only from single experiments. chestnut-load capacity and make capacity now measure the dispatch core, the probes, the platform's list, membership, configuration and claims at several sizes and work out a router's budget at the aim's size.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BINARIES := chestnut-router chestnut-controller chestnutctl chestnut-load chestnut-standin
 RACE_PACKAGES := $(shell go list ./internal/... ./intent/...)
 
-.PHONY: build demo test fmt
+.PHONY: build demo capacity test fmt
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,6 +9,9 @@
 demo: build
 	bin/chestnut-load demo
 
+capacity: build
+	bin/chestnut-load capacity
+
 test:
 	bash .ci/run
 
--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -42,7 +42,7 @@
 	p := settings.NewParser("chestnut-load", "Measures the system's processes with generated load and faults.", version)
 	p.ShowHelpOnUnexpected = true
 	p.AdditionalHelpAppend = "\nExit codes: 0 carried out, 1 not carried out or, for demo, not as promised, 2 bad flags, variables or arguments."
-	commands := []command{demoCommand(), runCommand(), compareCommand()}
+	commands := []command{demoCommand(), runCommand(), compareCommand(), capacityCommand()}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
 	}
@@ -54,7 +54,7 @@
 			return c.start()
 		}
 	}
-	return usage(finding.List{{Place: "arguments", Problem: "name a subcommand: demo, run or compare; --help shows them"}})
+	return usage(finding.List{{Place: "arguments", Problem: "name a subcommand: demo, run, compare or capacity; --help shows them"}})
 }
 
 func usage(findings finding.List) int {
