Test each promise against faults in real processes

Cause: the promises were proved in reducers and experiments, not with the processes themselves failing. The fleet gains a lag of the platform's list, a sign of leaving by the list alone, delays, and the engines' count of connections.

--- a/internal/bench/fleet/counts.go
+++ b/internal/bench/fleet/counts.go
@@ -17,12 +17,14 @@
 		Finished  uint64 `json:"finished"`
 		Held      int64  `json:"memory_held_tokens"`
 	} `json:"core"`
-	OrdersTaken    int            `json:"orders_taken"`
-	OrdersStale    int            `json:"orders_stale_taken"`
-	OrdersFenced   int            `json:"orders_fenced"`
-	LateWork       int            `json:"work_while_leaving"`
-	LateWorkMillis int64          `json:"last_work_while_leaving_ms"`
-	RunsByRequest  map[string]int `json:"runs"`
+	OrdersTaken    int   `json:"orders_taken"`
+	OrdersStale    int   `json:"orders_stale_taken"`
+	OrdersFenced   int   `json:"orders_fenced"`
+	LateWork       int   `json:"work_while_leaving"`
+	LateWorkMillis int64 `json:"last_work_while_leaving_ms"`
+	// Connections counts those accepted since the engine last came to life.
+	Connections   int            `json:"connections"`
+	RunsByRequest map[string]int `json:"runs"`
 }
 
 // ServiceCount is what one stand-in service has counted.
@@ -150,10 +152,11 @@
 
 // UpstreamFault is an order for one upstream to fail.
 type UpstreamFault struct {
-	Kind      string `json:"kind"`
-	ForMillis int    `json:"for_ms,omitempty"`
-	Count     int    `json:"count,omitempty"`
-	Path      string `json:"path,omitempty"`
+	Kind        string `json:"kind"`
+	ForMillis   int    `json:"for_ms,omitempty"`
+	DelayMillis int    `json:"delay_ms,omitempty"`
+	Count       int    `json:"count,omitempty"`
+	Path        string `json:"path,omitempty"`
 }
 
 // SetUpstreamFault orders one upstream to fail.
@@ -165,12 +168,17 @@
 // Leave announces that an upstream leaves: to itself, and to the platform,
 // whose list lags.
 func (f *Fleet) Leave(ctx context.Context, u Upstream) error {
-	f.mu.Lock()
-	f.leaving[u.Name] = true
-	f.mu.Unlock()
 	if err := f.SetUpstreamFault(ctx, u, UpstreamFault{Kind: "leaving"}); err != nil {
 		return err
 	}
+	return f.ListLeaving(ctx, u)
+}
+
+// ListLeaving marks an upstream as leaving in the platform's list alone.
+func (f *Fleet) ListLeaving(ctx context.Context, u Upstream) error {
+	f.mu.Lock()
+	f.leaving[u.Name] = true
+	f.mu.Unlock()
 	return f.PublishHosts(ctx)
 }
 
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -39,6 +39,8 @@
 	Engine workload.Engine
 	// ChecksFencing says that engines refuse orders with an old fencing number.
 	ChecksFencing bool
+	// HostsLag is how long a change of the platform's list stays hidden.
+	HostsLag time.Duration
 }
 
 // Fleet is the started processes and relays of a run.
@@ -113,7 +115,8 @@
 func (f *Fleet) program(name string) string { return filepath.Join(f.config.Programs, name) }
 
 func (f *Fleet) startStandIns() error {
-	if _, err := f.processes.Start("platform", f.program(programStandIn), "platform", "--listen", f.platform); err != nil {
+	if _, err := f.processes.Start("platform", f.program(programStandIn), "platform", "--listen", f.platform,
+		"--hosts-lag-ms", strconv.FormatInt(f.config.HostsLag.Milliseconds(), 10)); err != nil {
 		return err
 	}
 	for place, name := range f.Deployment.DataCentres {
