--- a/internal/claim/shard/result.go
+++ b/internal/claim/shard/result.go
@@ -71,7 +71,7 @@
 func (c *Core) wrote(version uint64) {
 	c.succeeded()
 	c.version = version
-	c.table = c.next
+	c.table = c.next.apply()
 	c.fresh = c.callSeq
 	c.resolve()
 	for _, o := range c.ops {
@@ -96,7 +96,7 @@
 		return
 	}
 	o.kind = giveBackOp
-	o.settled = o.answer.Decision != Granted
+	o.settled = o.answer.Decision != Granted || o.claim.Forwarded
 }
 
 // land takes the ops off a write that certainly had no effect.
@@ -164,11 +164,12 @@
 // refuse tells the caller that nothing was run. A claim that is or may be
 // stored stays queued, to be given back.
 func (c *Core) refuse(now time.Duration, o *op) {
+	notStored := !o.inWrite && !o.mayBeStored
 	if !o.answered && !o.abandoned {
-		c.emit(Answer{Token: o.token, Decision: Refused, RetryAfter: c.retryAfter(now)})
+		c.emit(Answer{Token: o.token, Decision: Refused, RetryAfter: c.retryAfter(now), NotStored: notStored})
 	}
 	o.answered = true
-	o.settled = !o.inWrite && !o.mayBeStored
+	o.settled = notStored || o.claim.Forwarded && !o.inWrite
 }
 
 func (c *Core) answer(o *op, a Answer) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -7,8 +7,12 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// forgetInterval is how often members are looked through for old ones.
-const forgetInterval = time.Second
+const (
+	// forgetInterval is how often members are looked through for old ones.
+	forgetInterval = time.Second
+	// maxMembers bounds the members known, dead ones included.
+	maxMembers = 4096
+)
 
 // member is what this host knows of another one.
 type member struct {
@@ -33,8 +37,9 @@
 	// loadsAt is when the last heartbeat with loads was sent to the host.
 	loadsAt time.Duration
 	// sent holds the loads last told to the host.
-	sent map[string]toldLoad
-	// suspected and leaving are the upstreams of its last digest, sorted.
+	sent    map[string]toldLoad
+	listing listing
+	// suspected and leaving are the upstreams of its last lists, sorted.
 	suspected []string
 	leaving   []string
 	// shown is what the caller was told last.
@@ -97,7 +102,7 @@
 
 // meet adds a host. One that is dead already is not worth knowing.
 func (c *Core) meet(u wire.Member) *member {
-	if u.State == wire.Dead {
+	if u.State == wire.Dead || len(c.names) >= maxMembers {
 		return nil
 	}
 	m := &member{Member: u, changedAt: c.now}
@@ -117,7 +122,7 @@
 	m.met = false
 	m.introducedAt = 0
 	m.sent, m.loadsAt, m.tableHash = nil, 0, 0
-	m.suspected, m.leaving = nil, nil
+	m.suspected, m.leaving, m.listing = nil, nil, listing{}
 }
 
 // changed notes that the table is different and passes the account on.
