--- a/internal/promise/configuration_test.go
+++ b/internal/promise/configuration_test.go
@@ -54,9 +54,9 @@
 		seen := make(map[*fleet.Process]uint64)
 		for ctx.Err() == nil {
 			for _, h := range w.fleet.Hosts {
-				process := w.fleet.Router(h.Name)
+				process := w.router(h)
 				s, err := w.fleet.Status(ctx, h)
-				if err != nil || process != w.fleet.Router(h.Name) {
+				if err != nil || process != w.router(h) {
 					continue
 				}
 				if s.ConfigVersion < seen[process] {
@@ -76,7 +76,7 @@
 
 func (w *world) restart(h fleet.Host) {
 	w.t.Helper()
-	router := w.fleet.Router(h.Name)
+	router := w.router(h)
 	must(w.t, fleet.Kill(router))
 	router.Wait(time.Second)
 	must(w.t, w.fleet.StartRouter(h))
@@ -99,7 +99,7 @@
 	stop := w.versions()
 	w.change()
 	w.everywhere(inForce)
-	router := w.fleet.Router(w.host(0, 0).Name)
+	router := w.router(w.host(0, 0))
 	must(t, fleet.Kill(router))
 	router.Wait(time.Second)
 	w.change()
--- a/internal/promise/memory_test.go
+++ b/internal/promise/memory_test.go
@@ -49,7 +49,7 @@
 	w := start(t, shape{dataCentres: 1, engines: 3, hosts: 2, policy: policyDefault})
 	var f flight
 	w.load(w.ctx, &f, w.host(0, 0))
-	must(t, fleet.Kill(w.fleet.Router(w.host(0, 0).Name)))
+	must(t, fleet.Kill(w.router(w.host(0, 0))))
 	f.land()
 	w.memoryReturns("host killed and not replaced", deathNoticed())
 }
--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -71,7 +71,7 @@
 		w.launch(w.ctx, &lost, w.host(0, 1), w.action(fmt.Sprintf("kill-%d", i)))
 		time.Sleep(spacing)
 	}
-	must(w.t, fleet.Kill(w.fleet.Router(w.host(0, 1).Name)))
+	must(w.t, fleet.Kill(w.router(w.host(0, 1))))
 	lost.land()
 	for range 2 {
 		for i := range keys {
--- a/internal/promise/shutdown_test.go
+++ b/internal/promise/shutdown_test.go
@@ -26,7 +26,7 @@
 		}
 	}
 	w.underWay(0, 9)
-	router := w.fleet.Router(stopping.Name)
+	router := w.router(stopping)
 	must(t, fleet.Drain(router))
 	time.Sleep(poll)
 	var late flight
--- a/internal/promise/world_test.go
+++ b/internal/promise/world_test.go
@@ -298,3 +298,6 @@
 		}
 	}
 }
+
+// router is the newest process of a host's router.
+func (w *world) router(h fleet.Host) *fleet.Process { return w.fleet.ProcessesOf(h.Name)[0] }
