Count store calls by result, and show members and own memory as gauges

A gauge from the dump was ruled out: its list of engines is cut at a limit and holds the engines' whole memory. The series of an engine without own work is removed, so that replaced engines do not add up.

--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -70,6 +70,7 @@
 		p.note(f.ID, "resumed", fmt.Sprintf("attempt %d, %s, from token %d", f.Attempt, f.Upstream, f.Offset))
 	case dispatch.Call:
 		p.note(f.ID, "called", fmt.Sprintf("attempt %d, %s", f.Attempt, f.Upstream))
+		p.retried(f.ID, f.Attempt)
 	case dispatch.Cancel:
 		p.metrics.Count("cancels_sent_total", 1)
 		p.note(f.ID, "cancelled", fmt.Sprintf("attempt %d, %s", f.Attempt, f.Upstream))
@@ -82,10 +83,16 @@
 		names[i] = m.Upstream
 	}
 	p.note(f.ID, "sent", fmt.Sprintf("attempt %d, %v, priority %s", f.Attempt, names, f.Priority))
-	if f.Attempt > 1 {
-		p.metrics.Count("requests_retried_total", 1)
-		logevent.RequestRetried.Emit(p.log, log.Fields{"request": f.ID, "attempt": f.Attempt})
+	p.retried(f.ID, f.Attempt)
+}
+
+// retried notes an attempt that follows another one.
+func (p *Process) retried(id string, attempt uint32) {
+	if attempt == 1 {
+		return
 	}
+	p.metrics.Count("requests_retried_total", 1)
+	logevent.RequestRetried.Emit(p.log, log.Fields{"request": id, "attempt": attempt})
 }
 
 func (p *Process) note(request, decision, detail string) {
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -52,7 +52,7 @@
 	prober   *probe.Prober
 	source   *source.Source
 	peers    *peer.Transport
-	store    *platform.Client
+	store    *countingStore
 	claimer  *claim.Claimer
 	engines  *engine.HTTPClient
 	services *service.HTTPClient
@@ -92,10 +92,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble the host")
 	}
-	p.store, err = platform.NewClient(platform.ClientConfig{BaseURL: s.Platform, DataCentre: s.DataCentre})
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: s.Platform, DataCentre: s.DataCentre})
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble the host")
 	}
+	p.store = &countingStore{store: client, directory: client, metrics: p.metrics}
 	p.loop = NewLoop(core, p.clock, dispatch.DefaultConfig().TickInterval, p.execute)
 	p.source = source.New(p.store, func(e configuration.Event) { p.loop.Post(router.Configured{Event: e}) })
 	if dispatch.Policy(s.Policy) != dispatch.PolicyNaive {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -24,6 +24,7 @@
 	p.addLoop(g)
 	p.addServers(g, listeners)
 	p.addDirectory(g)
+	p.addGauges(g)
 	logevent.ProcessStarted.Emit(p.log, log.Fields{
 		"host": p.settings.Host, "listen": p.settings.Listen, "admin": p.settings.Admin, "peer": p.settings.Peer,
 	})
--- /dev/null
+++ b/internal/router/gauges.go
@@ -0,0 +1,20 @@
+package router
+
+import (
+	"github.com/chestnutline/chestnutline/internal/dispatch"
+	"github.com/chestnutline/chestnutline/internal/wire"
+)
+
+// MemberStates counts the other hosts known, by what is believed of them.
+func (c *Core) MemberStates() map[wire.State]int {
+	counts := make(map[wire.State]int)
+	for _, m := range c.members.Members() {
+		counts[m.State]++
+	}
+	return counts
+}
+
+// OwnWork returns what this host has in flight on each engine.
+func (c *Core) OwnWork() []dispatch.PeerWork {
+	return c.dispatch.OwnWork()
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -53,6 +53,11 @@
 	metrics.GetOrRegisterGaugeFloat64(series(name, labels), s.registry).Update(value)
 }
 
+// Forget removes a series, so that what it told of leaves none behind.
+func (s *Set) Forget(name string, labels ...string) {
+	s.registry.Unregister(series(name, labels))
+}
+
 // Observe adds a duration to a timer; its name ends in _seconds.
 func (s *Set) Observe(name string, d time.Duration, labels ...string) {
 	full := series(name, labels)
