--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -44,16 +44,18 @@
 	InTimeShareByClass      map[workload.Class]*float64   `json:"in_time_share_by_class"`
 	DeliveredShareOfBest    *float64                      `json:"delivered_share_of_best"`
 	RefusedShare            *float64                      `json:"refused_share"`
-	RefusalSecondsP95       *float64                      `json:"refusal_seconds_p95"`
-	AdmittedLate            *int                          `json:"admitted_late"`
-	LatestOverrunSeconds    *float64                      `json:"latest_overrun_seconds"`
-	MemoryLeftBytes         *int64                        `json:"memory_left_bytes"`
-	AnswersMixed            *int                          `json:"answers_mixed"`
-	AnswerFaults            map[string]int                `json:"answer_faults"`
-	ActionsDoneTwice        *int                          `json:"actions_done_twice"`
-	FalseNotRun             *int                          `json:"false_not_run"`
-	Outcomes                map[string]int                `json:"outcomes"`
-	Codes                   map[string]int                `json:"codes"`
+	// GivenUpShare is the share of requests that were admitted and given up later.
+	GivenUpShare         *float64       `json:"given_up_share"`
+	RefusalSecondsP95    *float64       `json:"refusal_seconds_p95"`
+	AdmittedLate         *int           `json:"admitted_late"`
+	LatestOverrunSeconds *float64       `json:"latest_overrun_seconds"`
+	MemoryLeftBytes      *int64         `json:"memory_left_bytes"`
+	AnswersMixed         *int           `json:"answers_mixed"`
+	AnswerFaults         map[string]int `json:"answer_faults"`
+	ActionsDoneTwice     *int           `json:"actions_done_twice"`
+	FalseNotRun          *int           `json:"false_not_run"`
+	Outcomes             map[string]int `json:"outcomes"`
+	Codes                map[string]int `json:"codes"`
 	// BrokenOff counts answers that ended without a word, other than those of
 	// hosts that the bench had killed.
 	BrokenOff             *int     `json:"broken_off"`
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -77,6 +77,7 @@
 		{"in time, weighted", "at least 0.98 at load 0.7", func(r *Report) string { return number(r.InTimeShareWeighted) }},
 		{"delivered of best", "at least 0.9 at load 1.5", func(r *Report) string { return number(r.DeliveredShareOfBest) }},
 		{"refused", "", func(r *Report) string { return number(r.RefusedShare) }},
+		{"given up after admission", "", func(r *Report) string { return number(r.GivenUpShare) }},
 		{"refusal after p95 s", "at once", func(r *Report) string { return number(r.RefusalSecondsP95) }},
 		{"admitted late", "0", func(r *Report) string { return count(r.AdmittedLate) }},
 		{"memory left bytes", "0", func(r *Report) string { return count(r.MemoryLeftBytes) }},
