--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -31,8 +31,7 @@
 	// limit: every heartbeat then goes out at the shortest interval.
 	BytesPerSecond int
 	// OverheadBytes is what each message costs beside its frame, such as the
-	// headers of its segment and of the acknowledgement (about 104 over TCP on
-	// IPv4). Counting it makes the intervals longer. 0 counts frames alone.
+	// headers of its segment and of the acknowledgement (TCPOverheadBytes). Counting it makes the intervals longer. 0 counts frames alone.
 	OverheadBytes int
 	// BurstBytes is what may be sent at once after quiet time, so that news
 	// spreads fast; four times as much for member tables. More makes joins and
@@ -121,6 +120,23 @@
 	}
 }
 
+// TCPOverheadBytes is what the headers of TCP and IPv4 add to one message and
+// its acknowledgement.
+const TCPOverheadBytes = 104
+
+// HeadersCountedConfig returns settings for the same size that keep the
+// traffic below 3 KB/s with the headers of TCP and IPv4 counted. A death is
+// found some seconds later than with DefaultConfig.
+func HeadersCountedConfig() Config {
+	cfg := DefaultConfig()
+	cfg.OverheadBytes = TCPOverheadBytes
+	cfg.BytesPerSecond = 1500
+	cfg.WatchInterval = 2 * time.Second
+	cfg.BridgeInterval = 4 * time.Second
+	cfg.UnreachableAfter = 25 * time.Second
+	return cfg
+}
+
 // Validate returns every problem of the configuration.
 func (c Config) Validate() finding.List {
 	var findings finding.List
--- a/internal/membership/experiment/measure.go
+++ b/internal/membership/experiment/measure.go
@@ -201,5 +201,5 @@
 	r.result.BytesMean = float64(sum) / seconds / hosts
 	r.result.BytesMax = float64(r.worst(before)) / seconds
 	r.result.MessagesMean = 2 * float64(messages) / seconds / hosts
-	r.result.WireMean = r.result.BytesMean + tcpOverhead*r.result.MessagesMean
+	r.result.WireMean = r.result.BytesMean + membership.TCPOverheadBytes*r.result.MessagesMean
 }
--- a/internal/membership/experiment/policy.go
+++ b/internal/membership/experiment/policy.go
@@ -1,10 +1,6 @@
 package experiment
 
-import (
-	"time"
-
-	"github.com/chestnutline/chestnutline/internal/membership"
-)
+import "github.com/chestnutline/chestnutline/internal/membership"
 
 // Fixed is the naive policy: every host sends to every other at a fixed interval.
 func Fixed() membership.Config {
@@ -22,19 +18,10 @@
 	return cfg
 }
 
-// tcpOverhead is what TCP and IPv4 add to a message and its acknowledgement.
-const tcpOverhead = 104
-
 // Counted is the policy of the product with the headers of TCP and IP counted
 // against the same limit.
 func Counted() membership.Config {
-	cfg := membership.DefaultConfig()
-	cfg.OverheadBytes = tcpOverhead
-	cfg.BytesPerSecond = 1500
-	cfg.UnreachableAfter = 25 * time.Second
-	cfg.WatchInterval = 2 * time.Second
-	cfg.BridgeInterval = 4 * time.Second
-	return cfg
+	return membership.HeadersCountedConfig()
 }
 
 // Chosen is the policy of the product.
