--- a/internal/bench/fleet/network.go
+++ b/internal/bench/fleet/network.go
@@ -176,16 +176,21 @@
 	}
 }
 
-// ControlBytes is how many bytes the hosts of each data centre have sent and
-// received so far, among hosts and to and from the platform.
-func (n *Network) ControlBytes() []int64 {
-	totals := make([]int64, len(n.platform))
+// ControlBytes is what the hosts of one data centre have sent and received.
+type ControlBytes struct {
+	// Peers is to and from other hosts, Platform to and from the platform.
+	Peers, Platform int64
+}
+
+// ControlBytes is the control traffic of each data centre so far.
+func (n *Network) ControlBytes() []ControlBytes {
+	totals := make([]ControlBytes, len(n.platform))
 	for place, link := range n.platform {
-		totals[place] += link.Bytes()
+		totals[place].Platform = link.Bytes()
 	}
 	for key, link := range n.peers {
-		totals[key.low] += link.Bytes()
-		totals[key.high] += link.Bytes()
+		totals[key.low].Peers += link.Bytes()
+		totals[key.high].Peers += link.Bytes()
 	}
 	return totals
 }
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -66,6 +66,7 @@
 	OrdersReconciledSeconds     *float64           `json:"orders_reconciled_seconds"`
 	StoreCallsPerSecond         map[string]float64 `json:"store_calls_per_second"`
 	ControlBytesPerSecond       map[string]float64 `json:"control_bytes_per_second"`
+	ControlBytesByKind          map[string]float64 `json:"control_bytes_by_kind_per_second"`
 	ControlCPUShare             map[string]float64 `json:"control_cpu_share"`
 	ProcessCPUShare             map[string]float64 `json:"process_cpu_share"`
 
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -20,7 +20,7 @@
 	plan       []*workload.Request
 	before     fleet.PlatformCount
 	usage      fleet.Usage
-	bytes      []int64
+	bytes      []fleet.ControlBytes
 	started    time.Time
 }
 
@@ -185,11 +185,21 @@
 		m.report.StoreCallsPerSecond[kind] = float64(n-m.before.Calls[kind]) / passed
 	}
 	m.report.ProcessCPUShare = m.fleet.Usage().SharesSince(m.usage)
+	m.measureControlBytes(passed)
+	return nil
+}
+
+// measureControlBytes takes the mean of the hosts of each data centre.
+func (m *measured) measureControlBytes(passed float64) {
 	m.report.ControlBytesPerSecond = make(map[string]float64)
-	for place, bytes := range m.fleet.Network.ControlBytes() {
+	m.report.ControlBytesByKind = make(map[string]float64)
+	for place, now := range m.fleet.Network.ControlBytes() {
 		hosts := float64(len(m.fleet.HostsOf(place)))
+		peers := float64(now.Peers-m.bytes[place].Peers) / passed / hosts
+		platform := float64(now.Platform-m.bytes[place].Platform) / passed / hosts
 		name := m.options.Deployment.DataCentres[place] + " mean host"
-		m.report.ControlBytesPerSecond[name] = float64(bytes-m.bytes[place]) / passed / hosts
+		m.report.ControlBytesPerSecond[name] = peers + platform
+		m.report.ControlBytesByKind[name+", peers"] = peers
+		m.report.ControlBytesByKind[name+", platform"] = platform
 	}
-	return nil
 }
