--- a/cmd/chestnut-controller/main_test.go
+++ b/cmd/chestnut-controller/main_test.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutline/chestnutline/internal/configuration/registry"
 	"github.com/chestnutline/chestnutline/internal/engine"
 	"github.com/chestnutline/chestnutline/internal/httpcall"
+	"github.com/chestnutline/chestnutline/internal/lease"
 	"github.com/chestnutline/chestnutline/internal/platform"
 	standinengine "github.com/chestnutline/chestnutline/internal/standin/engine"
 	standin "github.com/chestnutline/chestnutline/internal/standin/platform"
@@ -247,7 +248,11 @@
 // the way. The order arrives after the other controller has taken over, and
 // takes no effect, whether the engine checks fencing numbers or not.
 func TestPausedHolder(t *testing.T) {
-	for name, checks := range map[string]bool{"engines check fencing": true, "engines ignore fencing": false} {
+	for _, checks := range []bool{true, false} {
+		name := "engines check fencing"
+		if !checks {
+			name = "engines ignore fencing"
+		}
 		t.Run(name, func(t *testing.T) {
 			p := newPlace(t, checks)
 			old, other := p.pauseHolderInOrder()
@@ -287,3 +292,28 @@
 	seconds := p.wait("the state is repaired", func() bool { return slices.Equal(p.status(1).Models, []string{"judge@2"}) })
 	p.t.Logf("an order of an earlier holder in effect was repaired after %.1f s", seconds)
 }
+
+// TestStoppedHolderGivesTheLeaseUp stops the holder as an operator does.
+func TestStoppedHolderGivesTheLeaseUp(t *testing.T) {
+	p := newPlace(t, true)
+	p.wait("a holder", func() bool { return p.programs[0].holds() || p.programs[1].holds() })
+	holder, other := p.programs[0], p.programs[1]
+	if !holder.holds() {
+		holder, other = other, holder
+	}
+	if err := holder.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := holder.command.Wait(); err != nil {
+		t.Fatalf("the stopped controller: %v", err)
+	}
+	seconds := p.wait("the other one takes over", other.holds)
+	t.Logf("another holder %.1f s after the stop", seconds)
+	o, err := p.store.Get(context.Background(), lease.Key(dataCentre))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := lease.ParseRecord(o.Value); err != nil || r.Fencing != 2 || r.Released {
+		t.Fatalf("lease %+v: %v", r, err)
+	}
+}
