--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -14,7 +14,7 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
 
 	"github.com/chestnutline/chestnutline/internal/finding"
@@ -42,7 +42,7 @@
 	p := settings.NewParser("chestnut-load", "Measures the system's processes with generated load and faults.", version)
 	p.ShowHelpOnUnexpected = true
 	p.AdditionalHelpAppend = "\nExit codes: 0 carried out, 1 not carried out or, for demo, not as promised, 2 bad flags, variables or arguments."
-	commands := []command{demoCommand(), runCommand(), compareCommand()}
+	commands := []command{demoCommand(), runCommand(), compareCommand(), capacityCommand()}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
 	}
@@ -54,7 +54,7 @@
 			return c.start()
 		}
 	}
-	return usage(finding.List{{Place: "arguments", Problem: "name a subcommand: demo, run or compare; --help shows them"}})
+	return usage(finding.List{{Place: "arguments", Problem: "name a subcommand: demo, run, compare or capacity; --help shows them"}})
 }
 
 func usage(findings finding.List) int {
@@ -72,7 +72,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	logger := &log.Logger{Handler: text.New(os.Stderr), Level: log.InfoLevel}
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	if err := c.run(ctx, logger); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-load:", err)
 		return exitFailed
--- a/internal/claim/shard/core.go
+++ b/internal/claim/shard/core.go
@@ -5,7 +5,8 @@
 //
 // The caller's contract: every Read and Write effect is carried out and its
 // result fed back; a write's result is Unknown unless it is proven; tokens are
-// never reused; Complete and GiveBack follow only a Granted answer, GiveBack
+// reused only for the same attempt through another host's Core (Forwarded);
+// Complete and GiveBack follow only a Granted answer, GiveBack
 // only with proof that nothing was run. Any number of Cores on any hosts may
 // serve the same object. No promise depends on clocks: a Core that is paused
 // for any time, or lost, leaves claims that nobody takes over.
@@ -78,7 +79,7 @@
 	fresh      uint64
 
 	call    call
-	next    *Table // the content being written
+	next    *draft // the content being written
 	callSeq uint64 // seq when the call in flight started
 
 	// dangling says that a write on base may still take effect as long as the
@@ -138,7 +139,7 @@
 func (c *Core) claim(now time.Duration, e Claim) {
 	c.wall = max(c.wall, e.Wall)
 	if len(c.ops) >= c.config.MaxQueue || c.down && now < c.notBefore {
-		c.emit(Answer{Token: e.Token, Decision: Refused, RetryAfter: c.retryAfter(now)})
+		c.emit(Answer{Token: e.Token, Decision: Refused, RetryAfter: c.retryAfter(now), NotStored: true})
 		return
 	}
 	c.ops = append(c.ops, &op{kind: claimOp, id: e.ID, token: e.Token, claim: e, seq: c.seq})
@@ -201,11 +202,6 @@
 }
 
 func (c *Core) write(now time.Duration, p plan) {
-	value, err := p.next.Encode()
-	if err != nil {
-		// The types of an entry always encode.
-		panic(err)
-	}
 	for _, o := range p.riders {
 		o.inWrite = true
 	}
@@ -213,7 +209,7 @@
 	c.callSeq = c.seq
 	c.next = p.next
 	c.nextWrite = now + c.config.Pace
-	c.emit(Write{Value: value, Base: c.version})
+	c.emit(Write{Value: p.next.encode(), Base: c.version})
 }
 
 // wake asks for a Tick when only time can bring something about.
--- a/internal/claim/shard/message.go
+++ b/internal/claim/shard/message.go
@@ -18,6 +18,9 @@
 	Wall     int64
 	// Expires is when the caller stops waiting for an answer.
 	Expires time.Duration
+	// Forwarded says that the claim belongs to another host. This Core never
+	// gives it back on its own: the other host may hold the grant.
+	Forwarded bool
 }
 
 // Complete records the outcome of a granted claim.
@@ -105,6 +108,8 @@
 	Outcome Outcome
 	// RetryAfter is set with Refused: when coming back can help.
 	RetryAfter time.Duration
+	// NotStored is set with Refused when the claim is certainly not in the store.
+	NotStored bool
 }
 
 // Recorded ends a Complete or GiveBack.
@@ -150,11 +155,16 @@
 	Full
 	// Unreadable says that the shard object's content can't be decoded.
 	Unreadable
+	// TooNew and Undated refuse keys before any Core sees them: their date lies
+	// ahead of the clock, or they carry none where one is required.
+	TooNew
+	Undated
 )
 
 var decisionNames = [...]string{
 	"refused", "granted", "done", "in progress", "outcome unknown",
 	"mismatch", "too old", "full", "unreadable",
+	"too new", "undated",
 }
 
 // String names the decision.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -121,6 +121,7 @@
 	}
 	r.phase = phaseStreaming
 	c.prefilled(now, r)
+	c.learnPrefixes(r)
 	c.dirty = true
 }
 
@@ -146,7 +147,10 @@
 	if r == nil || len(r.group) == 0 || r.phase == phaseCalling {
 		return
 	}
-	r.delivered = max(r.delivered, e.Delivered)
+	if e.Delivered > r.delivered {
+		r.delivered = e.Delivered
+		r.resumed = 0
+	}
 	r.resumed++
 	leader := r.group[0]
 	if r.resumed > maxResumes || leader.gone {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -27,17 +27,21 @@
 	// activeShare sums the shares of the organisations that have work.
 	activeShare float64
 	// views caches the candidate engines by model until one of them changes.
-	views    map[string][]*upstream
-	cancels  cancelTable
-	retries  retryBudget
-	mix      lengthMix
-	waits    waitModel
-	resident residencyModel
+	views   map[string][]*upstream
+	cancels cancelTable
+	retries retryBudget
+	mix     mix
+	// lightMemory is the memory of own requests that are not long, in tokens.
+	lightMemory int
+	waits       waitModel
+	resident    residencyModel
 
 	dirty    bool
 	draining bool
 	drained  bool
 	lastTick time.Duration
+	// lastPass is when the queue was walked last.
+	lastPass time.Duration
 }
 
 // New returns a core without upstreams.
@@ -63,8 +67,9 @@
 	c.effects = c.effects[:0]
 	c.stepRequest(now, ev)
 	c.stepUpstream(now, ev)
-	if c.dirty {
+	if c.dirty && c.passDue(now, ev) {
 		c.dirty = false
+		c.lastPass = now
 		c.reschedule(now)
 	}
 	c.checkDrained()
@@ -116,11 +121,27 @@
 		c.peerReported(e)
 	case HostChanged:
 		c.hostChanged(e)
+	case HostReplaced:
+		c.hostReplaced(e)
 	case WorkListed:
 		c.workListed(now, e)
 	}
 }
 
+// passDue says whether the queue is to be walked now. An arrival is tried at
+// once; what else may have made room is gathered for a moment, since a walk
+// over a long queue costs more than the event that caused it.
+func (c *Core) passDue(now time.Duration, ev Event) bool {
+	if _, arrival := ev.(Arrived); arrival && len(c.queue.items) <= shortQueue {
+		return true
+	}
+	return now >= c.lastPass+c.cfg.PassInterval
+}
+
+// shortQueue is the number of waiting requests up to which every arrival walks
+// the queue at once.
+const shortQueue = 8
+
 func (c *Core) reschedule(now time.Duration) {
 	if c.cfg.Policy == PolicyNaive {
 		c.scheduleNaive(now)
@@ -138,7 +159,7 @@
 	c.expire(now)
 	c.repeatCancels(now)
 	c.suspectSilent(now)
-	c.mix.age(now - c.lastTick)
+	c.mix.age(now-c.lastTick, c.lightMemory)
 	c.lastTick = now
 	c.dirty = c.dirty || len(c.queue.items) > 0
 }
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/callers"
 	"github.com/chestnutline/chestnutline/internal/configuration"
+	"github.com/chestnutline/chestnutline/internal/configuration/source"
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/membership"
@@ -69,6 +70,7 @@
 		p.note(f.ID, "resumed", fmt.Sprintf("attempt %d, %s, from token %d", f.Attempt, f.Upstream, f.Offset))
 	case dispatch.Call:
 		p.note(f.ID, "called", fmt.Sprintf("attempt %d, %s", f.Attempt, f.Upstream))
+		p.retried(f.ID, f.Attempt)
 	case dispatch.Cancel:
 		p.metrics.Count("cancels_sent_total", 1)
 		p.note(f.ID, "cancelled", fmt.Sprintf("attempt %d, %s", f.Attempt, f.Upstream))
@@ -81,10 +83,16 @@
 		names[i] = m.Upstream
 	}
 	p.note(f.ID, "sent", fmt.Sprintf("attempt %d, %v, priority %s", f.Attempt, names, f.Priority))
-	if f.Attempt > 1 {
-		p.metrics.Count("requests_retried_total", 1)
-		logevent.RequestRetried.Emit(p.log, log.Fields{"request": f.ID, "attempt": f.Attempt})
+	p.retried(f.ID, f.Attempt)
+}
+
+// retried notes an attempt that follows another one.
+func (p *Process) retried(id string, attempt uint32) {
+	if attempt == 1 {
+		return
 	}
+	p.metrics.Count("requests_retried_total", 1)
+	logevent.RequestRetried.Emit(p.log, log.Fields{"request": id, "attempt": attempt})
 }
 
 func (p *Process) note(request, decision, detail string) {
@@ -96,16 +104,11 @@
 	if p.source.Do(effect) {
 		return
 	}
-	switch f := effect.(type) {
-	case configuration.Apply:
+	source.Log(p.log, effect)
+	if f, ok := effect.(configuration.Apply); ok {
 		cfg := f.Configuration
 		p.catalogue.Store(callers.NewCatalogue(f.Version, &cfg))
 		p.metrics.Gauge("configuration_version", float64(f.Version))
-		logevent.ConfigurationInUse.Emit(p.log, log.Fields{"version": f.Version})
-	case configuration.Report:
-		logevent.ConfigurationTrails.Emit(p.log, log.Fields{
-			"kind": f.Kind, "version": f.Version, "host": f.Host, "detail": f.Detail,
-		})
 	}
 }
 
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/admin"
 	"github.com/chestnutline/chestnutline/internal/callers"
+	"github.com/chestnutline/chestnutline/internal/claim"
 	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/configuration"
 	"github.com/chestnutline/chestnutline/internal/configuration/source"
@@ -52,7 +52,8 @@
 	prober   *probe.Prober
 	source   *source.Source
 	peers    *peer.Transport
-	store    *platform.Client
+	store    *countingStore
+	claimer  *claim.Claimer
 	engines  *engine.HTTPClient
 	services *service.HTTPClient
 	callers  *callers.Server
@@ -91,12 +92,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble the host")
 	}
-	p.store, err = platform.NewClient(platform.ClientConfig{BaseURL: s.Platform, DataCentre: s.DataCentre})
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: s.Platform, DataCentre: s.DataCentre})
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble the host")
 	}
+	p.store = &countingStore{store: client, directory: client, metrics: p.metrics}
 	p.loop = NewLoop(core, p.clock, dispatch.DefaultConfig().TickInterval, p.execute)
 	p.source = source.New(p.store, func(e configuration.Event) { p.loop.Post(router.Configured{Event: e}) })
+	if dispatch.Policy(s.Policy) != dispatch.PolicyNaive {
+		if p.claimer, err = claim.New(claim.DefaultConfig(), p.store, l); err != nil {
+			return nil, errors.Wrap(err, "assemble the host")
+		}
+	}
 	p.assembleTraffic()
 	return p, p.assemblePeers()
 }
@@ -126,6 +133,7 @@
 		Owner:          engine.Owner{Host: p.settings.Host, Incarnation: p.incarnation},
 		SilenceTimeout: dispatch.DefaultConfig().SilenceTimeout,
 		ControlTimeout: controlTimeout,
+		Metrics:        p.metrics,
 	}
 	p.executor = traffic.NewExecutor(cfg, p.clock, p.engines, p.services, p.guard(), post)
 	hosts := func() int { return int(p.hosts.Load()) }
@@ -144,14 +152,21 @@
 
 func (p *Process) assemblePeers() error {
 	received := func(from string, m wire.Message) { p.loop.Post(router.PeerReceived{From: from, Message: m}) }
-	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), &net.Dialer{}, received, p.log)
+	dialer, err := p.settings.peerDialer()
+	if err != nil {
+		return err
+	}
+	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), dialer, received, p.log)
 	p.peers = transport
 	return errors.Wrap(err, "assemble the transport between hosts")
 }
 
 // guard returns what keeps actions from being repeated; the naive policy has none.
 func (p *Process) guard() traffic.Guard {
-	return nil
+	if p.claimer == nil {
+		return nil
+	}
+	return &claimGuard{claimer: p.claimer, log: p.log}
 }
 
 // Status implements admin.Source.
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -20,7 +20,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/chestnutline/chestnutline/internal/wire"
@@ -31,7 +30,9 @@
 	cfg Config
 	rng *rand.Rand
 
-	now      time.Duration
+	now time.Duration
+	// tickedAt is when Tick was called last, never if ticked is false.
+	tickedAt time.Duration
 	ticked   bool
 	stopped  bool
 	self     wire.Member
@@ -45,7 +46,7 @@
 	// unpublished says that a shown account may differ.
 	unpublished bool
 	forgetAt    time.Duration
-	sections    map[string]uint32
+	sections    map[string]wire.Section
 	listed      map[string]Listed
 	listing     []string
 
@@ -57,15 +58,16 @@
 	probeAt time.Duration
 	// tables compares the whole table with hosts of the data centre.
 	tables comparison
-	credit float64
+	// traffic pays for heartbeats, tableTraffic for member tables.
+	traffic      bucket
+	tableTraffic bucket
 	// meanSize is the moving average of heartbeats within the data centre, in bytes.
 	meanSize float64
 
 	version   uint64
 	loads     map[string]wire.UpstreamLoad
 	loadNames []string
-	suspected []string
-	leaving   []string
+	upstreams upstreams
 
 	effects []Effect
 }
@@ -76,17 +78,18 @@
 		return nil, err
 	}
 	c := &Core{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
-		members:  make(map[string]*member),
-		sites:    make(map[string]*site),
-		sections: make(map[string]uint32),
-		listed:   make(map[string]Listed),
-		news:     make(map[string]*newsItem),
-		loads:    make(map[string]wire.UpstreamLoad),
-		credit:   float64(cfg.BurstBytes),
-		meanSize: initialMeanSize,
-		stale:    true,
+		cfg:          cfg,
+		rng:          rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		members:      make(map[string]*member),
+		sites:        make(map[string]*site),
+		sections:     make(map[string]wire.Section),
+		listed:       make(map[string]Listed),
+		news:         make(map[string]*newsItem),
+		loads:        make(map[string]wire.UpstreamLoad),
+		traffic:      newBucket(cfg.BytesPerSecond, cfg.BurstBytes),
+		tableTraffic: newBucket(cfg.BytesPerSecond/tableShare, tableBursts*cfg.BurstBytes),
+		meanSize:     initialMeanSize,
+		stale:        true,
 	}
 	c.self = wire.Member{
 		Host:        cfg.Self.Name,
@@ -168,18 +171,19 @@
 	if now <= c.now {
 		return
 	}
-	earned := (now - c.now).Seconds() * float64(c.cfg.BytesPerSecond)
-	c.credit = min(c.credit+earned, float64(c.cfg.BurstBytes))
+	c.traffic.earn(now - c.now)
+	c.tableTraffic.earn(now - c.now)
 	c.now = now
 }
 
 // excusePause starts all silence anew when this host was paused itself.
 func (c *Core) excusePause(now time.Duration) {
-	paused := now-c.now > c.cfg.MaxPause
-	if !paused && c.ticked {
+	paused := now-c.tickedAt > c.cfg.MaxPause
+	excused := paused || !c.ticked
+	c.ticked, c.tickedAt = true, now
+	if !excused {
 		return
 	}
-	c.ticked = true
 	for _, name := range c.names {
 		m := c.members[name]
 		m.heardAt = now
@@ -203,23 +207,6 @@
 	c.effects = append(c.effects, e)
 }
 
-// send emits a message and pays for it.
-func (c *Core) send(to string, m wire.Message) {
-	c.credit -= float64(wire.Size(m))
-	c.emit(Send{To: to, Message: m})
-}
-
-// hasCredit tells whether traffic beyond the regular heartbeats may be sent.
-func (c *Core) hasCredit() bool {
-	return c.cfg.BytesPerSecond == 0 || c.credit > 0
-}
-
-// affordsNews tells whether news may be sent. Comparing tables is cheaper when
-// much has changed, so news leaves a part of the credit for that.
-func (c *Core) affordsNews() bool {
-	return c.cfg.BytesPerSecond == 0 || c.credit > newsReserve*float64(c.cfg.BurstBytes)
-}
-
 // announce tells the data centre and the partners elsewhere of this host's own
 // new state, at once.
 func (c *Core) announce(state wire.State) {
@@ -250,60 +237,3 @@
 	c.version = version
 	c.push()
 }
-
-func (c *Core) setUpstreams(e UpstreamsChanged) {
-	suspected := boundedNames(e.Suspected)
-	leaving := boundedNames(e.Leaving)
-	if equalNames(suspected, c.suspected) && equalNames(leaving, c.leaving) {
-		return
-	}
-	untold := c.anyUntold(suspected, c.suspected) || c.anyUntold(leaving, c.leaving)
-	c.suspected, c.leaving = suspected, leaving
-	if untold {
-		c.broadcast()
-	}
-}
-
-// anyUntold tells whether a name is new here and no peer's digest has it, so
-// that a sign which all hosts see is not broadcast by all of them.
-func (c *Core) anyUntold(names, before []string) bool {
-	for _, name := range names {
-		if !containsName(before, name) && !c.told(name) {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Core) told(upstream string) bool {
-	for _, m := range c.peers() {
-		if containsName(m.suspected, upstream) || containsName(m.leaving, upstream) {
-			return true
-		}
-	}
-	return false
-}
-
-func boundedNames(names []string) []string {
-	sorted := append([]string(nil), names...)
-	sort.Strings(sorted)
-	return sorted[:min(len(sorted), wire.MaxUpstreams)]
-}
-
-func equalNames(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// containsName searches a sorted list.
-func containsName(sorted []string, name string) bool {
-	i := sort.SearchStrings(sorted, name)
-	return i < len(sorted) && sorted[i] == name
-}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -7,8 +7,12 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// forgetInterval is how often members are looked through for old ones.
-const forgetInterval = time.Second
+const (
+	// forgetInterval is how often members are looked through for old ones.
+	forgetInterval = time.Second
+	// maxMembers bounds the members known, dead ones included.
+	maxMembers = 4096
+)
 
 // member is what this host knows of another one.
 type member struct {
@@ -28,9 +32,14 @@
 	// that it has answered since.
 	introducedAt time.Duration
 	met          bool
+	// tableHash is of its last heartbeat.
+	tableHash uint32
+	// loadsAt is when the last heartbeat with loads was sent to the host.
+	loadsAt time.Duration
 	// sent holds the loads last told to the host.
-	sent map[string]toldLoad
-	// suspected and leaving are the upstreams of its last digest, sorted.
+	sent    map[string]toldLoad
+	listing listing
+	// suspected and leaving are the upstreams of its last lists, sorted.
 	suspected []string
 	leaving   []string
 	// shown is what the caller was told last.
@@ -59,7 +68,8 @@
 }
 
 // merge takes another host's account of a member and returns the member, or
-// nil if it is this host or unknown.
+// nil if it is this host or unknown. A suspicion is for the member's own data
+// centre to settle, so others leave it aside.
 func (c *Core) merge(u wire.Member) *member {
 	if u.Host == c.self.Host {
 		c.deny(u)
@@ -68,6 +78,9 @@
 	if u.Host == "" || u.DataCentre == "" || u.Address == "" {
 		return nil
 	}
+	if u.State == wire.Suspect && u.DataCentre != c.self.DataCentre {
+		u.State = wire.Alive
+	}
 	m := c.members[u.Host]
 	if m == nil {
 		return c.meet(u)
@@ -89,7 +102,7 @@
 
 // meet adds a host. One that is dead already is not worth knowing.
 func (c *Core) meet(u wire.Member) *member {
-	if u.State == wire.Dead {
+	if u.State == wire.Dead || len(c.names) >= maxMembers {
 		return nil
 	}
 	m := &member{Member: u, changedAt: c.now}
@@ -108,8 +121,8 @@
 	m.heardAt = now
 	m.met = false
 	m.introducedAt = 0
-	m.sent = nil
-	m.suspected, m.leaving = nil, nil
+	m.sent, m.loadsAt, m.tableHash = nil, 0, 0
+	m.suspected, m.leaving, m.listing = nil, nil, listing{}
 }
 
 // changed notes that the table is different and passes the account on.
