--- a/internal/controller/process/run.go
+++ b/internal/controller/process/run.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -14,17 +11,23 @@
 
 	"github.com/chestnutline/chestnutline/internal/controller"
 	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/stop"
 )
 
 // AddTo adds the process's actors to a group, which runs them until one ends.
 func (p *Process) AddTo(g *run.Group) error {
+	stopped := make(chan struct{})
+	await, interrupt := stop.OnSignal(nil, func() { p.stop(stopped) })
 	listener, err := net.Listen("tcp", p.settings.Admin)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators (--admin)")
 	}
 	p.addLoop(g)
 	g.Add(func() error { return p.admin.Serve(listener) }, func(error) { _ = p.admin.Close() })
-	p.addStop(g)
+	g.Add(await, func(err error) {
+		close(stopped)
+		interrupt(err)
+	})
 	logevent.ProcessStarted.Emit(p.log, log.Fields{"host": p.settings.Host, "admin": p.settings.Admin})
 	return nil
 }
@@ -42,24 +45,6 @@
 	}, func(error) { cancel() })
 }
 
-// addStop adds the wait for a signal, and the graceful stop itself.
-func (p *Process) addStop(g *run.Group) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	done := make(chan struct{})
-	g.Add(func() error {
-		select {
-		case <-signals:
-			p.stop(done)
-		case <-done:
-		}
-		return nil
-	}, func(error) {
-		signal.Stop(signals)
-		close(done)
-	})
-}
-
 // stop ends the orders and gives the lease up, within the limit.
 func (p *Process) stop(done <-chan struct{}) {
 	logevent.ProcessStopping.Emit(p.log, log.Fields{"host": p.settings.Host})
