--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -46,6 +46,9 @@
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
 	}
+	if findings := settings.CheckArguments(p, args); len(findings) > 0 {
+		return usage(findings)
+	}
 	if err := p.ParseArgs(args); err != nil {
 		return usage(finding.List{{Place: "arguments", Problem: err.Error()}})
 	}
--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -49,6 +49,9 @@
 	if err := p.ParseArgs(args); err != nil {
 		return usage(finding.List{{Place: "arguments", Problem: err.Error()}})
 	}
+	if findings := settings.CheckArguments(p, args); len(findings) > 0 {
+		return usage(findings)
+	}
 	for _, c := range commands {
 		if c.sub.Used {
 			return c.start()
--- /dev/null
+++ b/internal/host/page_test.go
@@ -0,0 +1,23 @@
+package host
+
+import (
+	"os"
+	"testing"
+
+	"github.com/chestnutline/chestnutline/internal/settings"
+)
+
+// TestSettingsPageMatchesCode compares docs/SETTINGS.md with the settings.
+func TestSettingsPageMatchesCode(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for heading, target := range map[string]any{
+		"chestnut-router": &Settings{},
+	} {
+		if want := settings.PageFault(string(page), heading, target); want != "" {
+			t.Errorf("docs/SETTINGS.md lacks:\n%s", want)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -166,10 +166,10 @@
 // resolves the target and returns every finding.
 func Parse(p *flaggy.Parser, target any, args []string, environ map[string]string) finding.List {
 	b := Bind(&p.Subcommand, target)
-	if err := p.ParseArgs(args); err != nil {
-		var findings finding.List
+	findings, sound := checkArguments(p, args)
+	if err := p.ParseArgs(sound); err != nil {
 		findings.Add("arguments", err.Error())
 		return findings
 	}
-	return b.Resolve(environ)
+	return append(findings, b.Resolve(environ)...).Sorted()
 }
