--- a/internal/configuration/experiment/experiment.go
+++ b/internal/configuration/experiment/experiment.go
@@ -45,6 +45,10 @@
 	// OutageFrom and OutageTo bound an outage of the object API; none if equal.
 	OutageFrom time.Duration
 	OutageTo   time.Duration
+	// SilentFrom and SilentTo bound a time in which every watch that starts is
+	// silent for good, while later ones work; none if equal.
+	SilentFrom time.Duration
+	SilentTo   time.Duration
 	// CutDataCentres is how many data centres cannot reach the object API
 	// after Settle.
 	CutDataCentres int
@@ -52,13 +56,22 @@
 	New func(c configuration.Config) Follower
 }
 
+// Shape of a fleet by its size.
+const (
+	minDataCentres     = 3
+	maxDataCentres     = 16
+	hostsPerDataCentre = 30
+	// organisationsPerHost gives 4,200 organisations to 470 hosts.
+	organisationsPerHost = 9
+)
+
 // Defaults returns the options for a number of hosts: three data centres for
 // small fleets and up to sixteen, one host in three replaced.
 func Defaults(hosts int, seed uint64) Options {
 	return Options{
 		Hosts:         hosts,
-		DataCentres:   min(16, max(3, hosts/30)),
-		Organisations: 9 * hosts,
+		DataCentres:   min(maxDataCentres, max(minDataCentres, (hosts+hostsPerDataCentre-1)/hostsPerDataCentre)),
+		Organisations: organisationsPerHost * hosts,
 		Seed:          seed,
 		Length:        60 * time.Second,
 		Settle:        10 * time.Second,
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -25,12 +25,18 @@
 	// every host another one, or their timers stay in step.
 	Seed uint64
 
-	// BytesPerSecond is what a host may send on average; it receives as much.
-	// Less makes digests older, more costs traffic. 0 means no limit: every
-	// heartbeat then goes out at the shortest interval.
+	// BytesPerSecond is what a host may send on average in heartbeats; it
+	// receives as much. Member tables may cost a quarter as much again while
+	// members change. Less makes digests older, more costs traffic. 0 means no
+	// limit: every heartbeat then goes out at the shortest interval.
 	BytesPerSecond int
+	// OverheadBytes is what each message costs beside its frame, such as the
+	// headers of its segment and of the acknowledgement (about 104 over TCP on
+	// IPv4). Counting it makes the intervals longer. 0 counts frames alone.
+	OverheadBytes int
 	// BurstBytes is what may be sent at once after quiet time, so that news
-	// spreads fast. More makes joins and failures cost higher peaks.
+	// spreads fast; four times as much for member tables. More makes joins and
+	// failures cost higher peaks, less makes them slower to be known.
 	BurstBytes int
 
 	// HeartbeatInterval is the shortest mean interval between two heartbeats
@@ -93,7 +99,7 @@
 // centres at less than 3 KB/s sent and received per host.
 func DefaultConfig() Config {
 	return Config{
-		BytesPerSecond:    1300,
+		BytesPerSecond:    1150,
 		BurstBytes:        16 << 10,
 		HeartbeatInterval: time.Second,
 		Watchers:          3,
@@ -105,7 +111,7 @@
 		BridgeInterval:    2 * time.Second,
 		UnreachableAfter:  12 * time.Second,
 		DeadProbeInterval: 5 * time.Second,
-		SyncInterval:      4 * time.Second,
+		SyncInterval:      2 * time.Second,
 		ForgetAfter:       10 * time.Minute,
 		PushDelay:         300 * time.Millisecond,
 		MaxPause:          2 * time.Second,
@@ -128,6 +134,7 @@
 	require(c.Self.Address != "", "Self.Address", "must not be empty")
 	require(c.Self.Incarnation > 0, "Self.Incarnation", "must be above 0")
 	require(c.BytesPerSecond >= 0, "BytesPerSecond", "must not be negative")
+	require(c.OverheadBytes >= 0, "OverheadBytes", "must not be negative")
 	require(c.BurstBytes > 0, "BurstBytes", "must be above 0")
 	require(c.HeartbeatInterval > 0, "HeartbeatInterval", "must be above 0")
 	require(c.Watchers >= 0, "Watchers", "must not be negative")
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -108,6 +108,7 @@
 			Upstream:      w.Upstream,
 			Requests:      w.Requests,
 			PrefillTokens: w.PrefillTokens,
+			LongTokens:    w.LongTokens,
 			MemoryTokens:  w.MemoryTokens,
 		}
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -42,6 +42,10 @@
 		return d.heartbeat()
 	case kindSyncRequest:
 		return SyncRequest{Host: d.string(), Sections: decodeList(d, MaxDataCentres, d.section)}
+	case kindSyncOffer:
+		return SyncOffer{Host: d.string(), DataCentre: d.string(), Entries: decodeList(d, MaxMembers, d.entry)}
+	case kindSyncWant:
+		return SyncWant{Host: d.string(), DataCentre: d.string(), Entries: decodeList(d, MaxMembers, d.entry)}
 	case kindSyncReply:
 		return SyncReply{Host: d.string(), Members: decodeList(d, MaxMembers, d.member)}
 	case kindCarried:
@@ -62,12 +66,17 @@
 		ConfigVersion: d.uint(math.MaxUint64),
 		Members:       decodeList(d, MaxMembers, d.member),
 		Loads:         decodeList(d, MaxLoads, d.load),
+		Listing:       d.bool(),
 		Suspected:     decodeList(d, MaxUpstreams, d.string),
 		Leaving:       decodeList(d, MaxUpstreams, d.string),
 		Contacts:      decodeList(d, MaxDataCentres, d.contact),
 	}
 }
 
+func (d *decoder) entry() uint32 {
+	return uint32(d.uint(math.MaxUint32))
+}
+
 func (d *decoder) member() Member {
 	return Member{
 		Host:        d.string(),
@@ -84,6 +93,7 @@
 		Upstream:      d.string(),
 		Requests:      int(d.uint(math.MaxInt32)),
 		PrefillTokens: int(d.uint(math.MaxInt64)),
+		LongTokens:    int(d.uint(math.MaxInt64)),
 		MemoryTokens:  int(d.uint(math.MaxInt64)),
 	}
 }
@@ -93,7 +103,11 @@
 }
 
 func (d *decoder) section() Section {
-	return Section{DataCentre: d.string(), Hash: uint32(d.uint(math.MaxUint32))}
+	return Section{
+		DataCentre: d.string(),
+		Hash:       uint32(d.uint(math.MaxUint32)),
+		Weight:     d.uint(math.MaxUint64),
+	}
 }
 
 func (d *decoder) string() string {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -64,6 +64,8 @@
 	Requests int
 	// PrefillTokens is the number of prompt tokens not yet processed.
 	PrefillTokens int
+	// LongTokens is the part of PrefillTokens that belongs to long prompts.
+	LongTokens int
 	// MemoryTokens is the KV memory reserved.
 	MemoryTokens int
 }
@@ -75,13 +77,17 @@
 	AgeMillis uint32
 }
 
-// Section is the hash of one data centre's part of the member table.
+// Section sums up one data centre's part of the member table.
 type Section struct {
 	DataCentre string
-	Hash       uint32
+	// Hash differs when the members that are not dead differ.
+	Hash uint32
+	// Weight grows with everything learned about the members.
+	Weight uint64
 }
 
-// Message is one of Hello, Ping, Pong, Heartbeat, SyncRequest and SyncReply.
+// Message is one of Hello, Ping, Pong, Heartbeat, SyncRequest, SyncOffer,
+// SyncWant and SyncReply.
 type Message interface {
 	kind() kind
 }
@@ -94,6 +100,8 @@
 	kindPong
 	kindHeartbeat
 	kindSyncRequest
+	kindSyncOffer
+	kindSyncWant
 	kindSyncReply
 	kindCarried
 )
@@ -127,20 +135,37 @@
 	// Loads are the sender's loads that changed most since its last heartbeat
 	// to the same host. Empty between data centres.
 	Loads []UpstreamLoad
-	// Suspected and Leaving are the upstreams of which the sender believes so.
+	// Listing says that Suspected and Leaving are the sender's whole lists of
+	// upstreams of which it believes so; otherwise they are as told before.
+	Listing   bool
 	Suspected []string
 	Leaving   []string
 	// Contacts are the data centres that the sender hears from itself.
 	Contacts []Contact
 }
 
-// SyncRequest asks for the sections of the member table that differ.
+// SyncRequest tells the sender's sections of the member table and asks for
+// offers of those that differ.
 type SyncRequest struct {
 	Host     string
 	Sections []Section
 }
 
-// SyncReply carries every entry of one section.
+// SyncOffer lists the entries of one section by their hashes.
+type SyncOffer struct {
+	Host       string
+	DataCentre string
+	Entries    []uint32
+}
+
+// SyncWant asks for the offered entries that the sender lacks.
+type SyncWant struct {
+	Host       string
+	DataCentre string
+	Entries    []uint32
+}
+
+// SyncReply carries the entries wanted.
 type SyncReply struct {
 	Host    string
 	Members []Member
@@ -161,5 +186,7 @@
 func (Pong) kind() kind        { return kindPong }
 func (Heartbeat) kind() kind   { return kindHeartbeat }
 func (SyncRequest) kind() kind { return kindSyncRequest }
+func (SyncOffer) kind() kind   { return kindSyncOffer }
+func (SyncWant) kind() kind    { return kindSyncWant }
 func (SyncReply) kind() kind   { return kindSyncReply }
 func (Carried) kind() kind     { return kindCarried }
