--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/controller/experiment"
 )
 
 // figures are what the roles' tables are worked out from; each is of the
@@ -18,6 +20,7 @@
 	claims        []claimFigures
 	probes        probeFigures
 	directory     directoryFigures
+	controllers   experiment.Cost
 }
 
 // Report is the tables of one run.
@@ -54,6 +57,7 @@
 		r.probes,
 		r.members,
 		r.configuration,
+		func() error { r.controllers(); return nil },
 		func() error { r.claims(); return nil },
 	}
 	for _, step := range steps {
--- a/internal/bench/capacity/roles.go
+++ b/internal/bench/capacity/roles.go
@@ -33,6 +33,7 @@
 	t.add("sum", core(sum.core), size(sum.memory), size(sum.bytes))
 	t.add("limit", core(limitCore), size(limitMemory), size(limitBytes))
 	r.overload()
+	r.controller()
 	r.store()
 }
 
@@ -83,6 +84,15 @@
 	}
 }
 
+// controller shares a data centre's traffic out between its candidates.
+func (r *run) controller() {
+	c := r.figures.controllers
+	t := r.table("A controller at the aim's size", "role", "store calls a second", "store bytes a second", "engine bytes a second")
+	candidates := float64(c.Size.Candidates)
+	t.add("candidate, mean of all", count((c.StoreReads+c.StoreWrites)/candidates), size(c.StoreBytes/candidates), "")
+	t.add("holder of the lease, with all of its data centre's calls", count(c.StoreReads+c.StoreWrites), size(c.StoreBytes), size(c.EngineBytes))
+}
+
 // store works out the calls on the object API by all nodes.
 func (r *run) store() {
 	f := &r.figures
@@ -94,5 +104,6 @@
 	last := f.claims[len(f.claims)-1]
 	t.add(fmt.Sprintf("claims of %d hosts, %.0f actions a second", last.run.hosts, last.run.actions), count(last.reads), count(last.writes),
 		size(last.perKey*last.run.actions*daySeconds)+" a day")
+	t.add("controllers of 16 data centres: leases, configuration, list", count(aimDataCentres*f.controllers.StoreReads), count(aimDataCentres*f.controllers.StoreWrites), "")
 	t.add("limit", count(storeReads), count(storeWrites), "")
 }
