--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -76,7 +76,7 @@
 
 // stream writes an answer as server-sent events.
 func (s *Server) stream(c echo.Context, x *traffic.Exchange, model string) error {
-	w := &eventWriter{c: c, controller: http.NewResponseController(c.Response())}
+	w := &eventWriter{c: c, controller: http.NewResponseController(c.Response()), writeTimeout: s.cfg.Timeouts.Write}
 	w.prepare(x.ID, model)
 	r := s.await(c, x, w.piece)
 	if r.Code == dispatch.CodeCallerGone {
@@ -96,10 +96,12 @@
 type eventWriter struct {
 	c          echo.Context
 	controller *http.ResponseController
-	head       []byte
-	buffer     []byte
-	begun      bool
-	finish     string
+	// writeTimeout bounds one write.
+	writeTimeout time.Duration
+	head         []byte
+	buffer       []byte
+	begun        bool
+	finish       string
 }
 
 const (
@@ -167,7 +169,7 @@
 }
 
 func (w *eventWriter) flush() error {
-	_ = w.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.writeTimeout))
 	if _, err := w.c.Response().Write(w.buffer); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -20,7 +20,7 @@
 	if refused != nil {
 		return refused.write(c)
 	}
-	data, refused := readBody(c, id, MaxCallBytes)
+	data, refused := s.readBody(c, id, MaxCallBytes)
 	if refused != nil {
 		return refused.write(c)
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -19,15 +19,25 @@
 	"github.com/chestnutline/chestnutline/internal/traffic"
 )
 
-// Limits towards slow or hostile callers.
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 16 << 10
-	// bodyTimeout bounds the reading of a body, writeTimeout one write.
-	bodyTimeout  = 30 * time.Second
-	writeTimeout = 10 * time.Second
-)
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 16 << 10
+
+// Timeouts bound what slow or hostile callers can hold.
+type Timeouts struct {
+	// Header bounds the reading of a request's headers, Body that of its body.
+	// Longer tolerates slower lines, and lets idle connections stay longer.
+	Header time.Duration
+	Body   time.Duration
+	// Write bounds one write of an answer.
+	Write time.Duration
+	// Idle closes connections without a request.
+	Idle time.Duration
+}
+
+// DefaultTimeouts returns the timeouts for callers anywhere.
+func DefaultTimeouts() Timeouts {
+	return Timeouts{Header: 5 * time.Second, Body: 30 * time.Second, Write: 10 * time.Second, Idle: 60 * time.Second}
+}
 
 // Config holds what a Server needs.
 type Config struct {
@@ -42,6 +52,8 @@
 	Catalogue func() *Catalogue
 	// MaxConnections bounds the open connections; 0 is no bound.
 	MaxConnections int
+	// Timeouts are the default ones if zero.
+	Timeouts Timeouts
 }
 
 // Server answers callers.
@@ -54,6 +66,9 @@
 
 // NewServer returns a server; Serve starts it.
 func NewServer(cfg Config) *Server {
+	if cfg.Timeouts == (Timeouts{}) {
+		cfg.Timeouts = DefaultTimeouts()
+	}
 	s := &Server{cfg: cfg}
 	e := echo.New()
 	e.HideBanner = true
@@ -64,8 +79,9 @@
 	e.GET("/readyz", s.ready)
 	s.http = &http.Server{
 		Handler:           e,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: cfg.Timeouts.Header,
+		ReadTimeout:       cfg.Timeouts.Header + cfg.Timeouts.Body,
+		IdleTimeout:       cfg.Timeouts.Idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s
@@ -132,12 +148,13 @@
 	return id, catalogue, nil
 }
 
-// readBody reads at most limit bytes within bodyTimeout.
-func readBody(c echo.Context, id string, limit int64) ([]byte, *Problem) {
+// readBody reads at most limit bytes within the timeout for bodies. After a
+// failure the connection keeps the timeout, since the library reads on what the
+// caller has not sent before it answers.
+func (s *Server) readBody(c echo.Context, id string, limit int64) ([]byte, *Problem) {
 	r := c.Request()
 	controller := http.NewResponseController(c.Response())
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	_ = controller.SetReadDeadline(time.Now().Add(s.cfg.Timeouts.Body))
 	if r.ContentLength > limit {
 		p := problem(id, codeTooBig, dispatch.OutcomeNotRun)
 		p.Detail = "at most " + strconv.FormatInt(limit, 10) + " bytes are accepted"
@@ -146,6 +163,7 @@
 	body := http.MaxBytesReader(c.Response(), r.Body, limit)
 	data, err := readAll(body, r.ContentLength)
 	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		return data, nil
 	}
 	code := codeInterrupted
@@ -188,7 +206,7 @@
 	if refused != nil {
 		return refused.write(c)
 	}
-	data, refused := readBody(c, id, MaxBodyBytes)
+	data, refused := s.readBody(c, id, MaxBodyBytes)
 	if refused != nil {
 		return refused.write(c)
 	}
