--- a/internal/bench/capacity/claims.go
+++ b/internal/bench/capacity/claims.go
@@ -11,10 +11,20 @@
 type claimRun struct {
 	hosts   int
 	actions float64
+	// shards, window and pace are the layout of the store's objects.
+	shards int
+	window time.Duration
+	pace   time.Duration
 }
 
+// claimRuns begin with the default layout and end with one for the aim's size,
+// where one request in a hundred is such an action.
 var claimRuns = []claimRun{
-	{8, 10}, {8, 50}, {8, 200}, {30, 50},
+	{8, 10, 8, time.Minute, 20 * time.Millisecond},
+	{8, 50, 8, time.Minute, 20 * time.Millisecond},
+	{8, 200, 8, time.Minute, 20 * time.Millisecond},
+	{30, 200, 8, time.Minute, 20 * time.Millisecond},
+	{aimNodes, aimRequests / 100, 16, 10 * time.Second, 50 * time.Millisecond},
 }
 
 const claimLength = 10 * time.Second
@@ -29,8 +39,8 @@
 }
 
 func (r *run) claims() {
-	t := r.table("Claims on actions that run at most once: 8 shard objects a minute, store limits off",
-		"hosts", "actions a second", "granted", "store writes a second", "conflicts a second", "store reads a second", "bytes written a second", "stored bytes a key", "largest object")
+	t := r.table("Claims on actions that run at most once, one owner a shard object",
+		"hosts", "actions a second", "shards", "window", "granted", "store writes a second", "conflicts a second", "store reads a second", "bytes written a second", "stored bytes a key", "largest object")
 	for _, size := range claimRuns {
 		r.tell(fmt.Sprintf("claims of %d hosts, %.0f actions a second", size.hosts, size.actions))
 		r.figures.claims = append(r.figures.claims, measureClaims(t, size))
@@ -40,7 +50,7 @@
 func measureClaims(t *Table, c claimRun) claimFigures {
 	config := experiment.DefaultConfig()
 	config.Hosts, config.ActionsPerSecond, config.Length = c.hosts, c.actions, claimLength
-	config.Store.WritesPerSecond, config.Store.ReadsPerSecond = 0, 0
+	config.Owners, config.Shards, config.WindowLength, config.Core.Pace = true, c.shards, c.window, c.pace
 	w := experiment.Run(config)
 	u := w.Usage()
 	s := claimLength.Seconds()
@@ -51,7 +61,7 @@
 		granted: float64(u.Granted) / float64(max(1, u.Asked)),
 		perKey:  float64(u.StoredBytes) / float64(max(1, len(w.Executions()))),
 	}
-	t.add(count(float64(c.hosts)), count(c.actions), fmt.Sprintf("%.1f%%", 100*f.granted), count(f.writes), count(float64(u.Conflicts)/s), count(f.reads),
+	t.add(count(float64(c.hosts)), count(c.actions), count(float64(c.shards)), c.window.String(), fmt.Sprintf("%.1f%%", 100*f.granted), count(f.writes), count(float64(u.Conflicts)/s), count(f.reads),
 		size(float64(u.BytesWritten)/s), size(f.perKey), size(float64(u.LargestBytes)))
 	return f
 }
--- a/internal/bench/capacity/roles.go
+++ b/internal/bench/capacity/roles.go
@@ -59,7 +59,7 @@
 		{what: "probes of 331 engines, both ends", core: f.probes.core * perEngine * aimEngines, memory: f.probes.heap * perEngine * aimEngines, bytes: f.probes.bytes * perEngine * aimEngines},
 		{what: "probes of the 4,969 engines of other data centres, both ends", core: f.probes.core * perEngine * (aimServers - aimEngines), memory: f.probes.heap * perEngine * (aimServers - aimEngines), bytes: f.probes.bytes * perEngine * (aimServers - aimEngines)},
 		{what: "membership", core: f.members.core, memory: f.members.state, bytes: f.members.bytes},
-		{what: "configuration: spreading", core: f.configuration.decode.perSecond(changes), memory: float64(f.configuration.catalogue), bytes: 2 * f.configuration.spread.BytesPerSecond},
+		{what: "configuration, a change every 5 s", core: f.configuration.decode.perSecond(changes), memory: float64(f.configuration.catalogue), bytes: 2 * f.configuration.spread.BytesPerSecond},
 		{what: "the platform's list", core: (f.directory.decode.cpu + f.directory.step.cpu).Seconds() * rate(listInterval), memory: float64(f.directory.state), bytes: float64(f.directory.bytes) * rate(listInterval)},
 	}
 }
