Let the platform fail between claim and answer in the test of actions

Cause: the platform lost answers and went down in separate phases only. Change: each key is sent to two data centres while the platform loses half of its answers, goes down and comes back; a naive run shows what the refusal check notices.

--- a/internal/promise/leaving_test.go
+++ b/internal/promise/leaving_test.go
@@ -13,8 +13,6 @@
 	quietAfter = 3 * time.Second
 	// watched is how long new work is sent after the sign.
 	watched = 7 * time.Second
-	// spacing is the time between two requests of the steady load.
-	spacing = 40 * time.Millisecond
 )
 
 // steady sends short prompts and lookups to all hosts for a while, and calls
--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -61,10 +61,7 @@
 // killBetween kills a router with actions at every step between their claim
 // and their answer, and sends the same keys to the others.
 func (w *world) killBetween(f *flight) {
-	const (
-		keys    = 10
-		spacing = 40 * time.Millisecond
-	)
+	const keys = 10
 	w.faultAll(roleService, fleet.UpstreamFault{Kind: "delay", DelayMillis: 200, Path: callPath})
 	var lost flight
 	for i := range keys {
@@ -97,11 +94,39 @@
 	w.platform(fleet.PlatformFaults{})
 }
 
+// platformFails lets the platform lose answers, go down while actions are
+// between claim and answer, and come back, with each key sent to two data
+// centres in each of the phases.
+func (w *world) platformFails(f *flight) {
+	const keys = 8
+	both := func() {
+		for i := range keys {
+			r := w.action(fmt.Sprintf("outage-%d", i))
+			w.launch(w.ctx, f, w.host(0, 0), r)
+			w.launch(w.ctx, f, w.host(1, 0), r)
+			time.Sleep(spacing)
+		}
+	}
+	w.faultAll(roleService, fleet.UpstreamFault{Kind: "delay", DelayMillis: 150, Path: callPath})
+	w.platform(fleet.PlatformFaults{LoseAnswerProbability: 0.5})
+	both()
+	w.platform(fleet.PlatformFaults{Down: true})
+	both()
+	w.platform(fleet.PlatformFaults{LoseAnswerProbability: 0.2})
+	both()
+	f.wait.Wait()
+	w.platform(fleet.PlatformFaults{})
+	w.faultAll(roleService, fleet.UpstreamFault{Kind: "clear"})
+	both()
+	f.wait.Wait()
+}
+
 func TestActionsRunAtMostOnce(t *testing.T) {
 	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 4, policy: policyDefault})
 	var f flight
 	w.loseAnswers(&f)
 	w.losePlatform(&f)
+	w.platformFails(&f)
 	w.killBetween(&f)
 	counts := w.counts()
 	for _, key := range keysRunAgain(counts) {
@@ -130,6 +155,16 @@
 	}
 }
 
+// TestNaiveRoutersRunActionsWithoutThePlatform is what the check above notices.
+func TestNaiveRoutersRunActionsWithoutThePlatform(t *testing.T) {
+	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 2, policy: policyNaive})
+	w.platform(fleet.PlatformFaults{Down: true})
+	w.send(w.ctx, w.host(0, 0), w.action("down-0"))
+	if len(runsOf(w.counts())) == 0 {
+		t.Error("the naive routers ran no action without the platform")
+	}
+}
+
 // TestActionsAreRefusedWithoutThePlatform takes the platform down: actions are refused
 // at once and were not run, prompts are answered, and the same keys run when
 // the platform is back.
--- a/internal/promise/world_test.go
+++ b/internal/promise/world_test.go
@@ -26,6 +26,8 @@
 	testLimit = 40 * time.Second
 	// poll is the pause between two looks at a condition.
 	poll = 50 * time.Millisecond
+	// spacing is the time between two requests of a series.
+	spacing = 40 * time.Millisecond
 	// warmUp is how long hosts get to learn of the upstreams once ready.
 	warmUp = 1500 * time.Millisecond
 	// slack is what a busy machine may add to a time limit: the answer is
