--- a/internal/promise/leaving_test.go
+++ b/internal/promise/leaving_test.go
@@ -1,6 +1,7 @@
 package promise
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,3 +98,40 @@
 		t.Errorf("the leaving engine got %d requests later than %s after the sign", after-before, quietAfter)
 	}
 }
+
+// TestLeavingServicesGetNothingNew lets the plain service of a data centre say
+// that it leaves; its calls go to the other data centre's.
+func TestLeavingServicesGetNothingNew(t *testing.T) {
+	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 2, policy: policyDefault})
+	leaving := w.upstream(roleService, 0, 0)
+	var f flight
+	signed := time.Now().Add(time.Second)
+	end := signed.Add(watched)
+	told := false
+	for i := 0; time.Now().Before(end); i++ {
+		if !told && time.Now().After(signed) {
+			w.fault(leaving, fleet.UpstreamFault{Kind: "leaving"})
+			told = true
+		}
+		call := w.action(fmt.Sprintf("leaving-%d", i))
+		if i%2 == 0 {
+			call = w.action("")
+			call.Kind = w.fleet.Deployment.Lookup
+		}
+		w.launch(w.ctx, &f, w.host(0, 0), call)
+		time.Sleep(spacing)
+	}
+	w.all(f.land())
+	counts := w.counts()
+	if last := counts.LastLateWork(); last > quietAfter {
+		t.Errorf("new work %s after the sign", last)
+	}
+	for _, s := range counts.Services {
+		if len(s.RunsByRequest) == 0 {
+			t.Errorf("%s never had work", s.Name)
+		}
+	}
+	for _, key := range keysRunAgain(counts) {
+		t.Error("run again: ", key)
+	}
+}
--- a/internal/promise/memory_test.go
+++ b/internal/promise/memory_test.go
@@ -94,6 +94,22 @@
 	w.memoryReturns("deadline passed", time.Until(deadline)+d.OverdueGrace+2*(sweeps+d.CancelRetryMax)+2*time.Second)
 }
 
+// TestMemoryReturnsAfterAllHostsDied kills every host of the data centre; the
+// first one that is back gives back what its earlier process held.
+func TestMemoryReturnsAfterAllHostsDied(t *testing.T) {
+	w := start(t, shape{dataCentres: 1, engines: 3, hosts: 2, policy: policyDefault})
+	var f flight
+	w.load(w.ctx, &f, w.host(0, 0))
+	for _, h := range w.fleet.Hosts {
+		must(t, fleet.Kill(w.router(h)))
+	}
+	f.land()
+	w.router(w.host(0, 0)).Wait(time.Second)
+	must(t, w.fleet.StartRouter(w.host(0, 0)))
+	must(t, w.fleet.RouterReady(w.ctx, w.host(0, 0)))
+	w.memoryReturns("one host is back", deathNoticed())
+}
+
 // hangUp lets all callers hang up while engines work for them; engines lose
 // the first cancels given.
 func (w *world) hangUp(lostCancels int) {
