--- a/internal/host/page_test.go
+++ b/internal/host/page_test.go
@@ -34,3 +34,28 @@
 		t.Errorf("the page has\n%s\nthe code has\n%s", g, w)
 	}
 }
+
+// TestCallersPageListsRefusedClaims compares outcome and Retry-After of every
+// refused claim with the callers' page.
+func TestCallersPageListsRefusedClaims(t *testing.T) {
+	text, err := os.ReadFile("../../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for decision, r := range refusals {
+		_, row, found := strings.Cut(string(text), "\n| `"+string(r.code)+"` |")
+		row, _, _ = strings.Cut(row, "\n")
+		cells := strings.Split(row, "|")
+		if !found || len(cells) < 4 {
+			t.Errorf("%s: the page has no row for %s", decision, r.code)
+			continue
+		}
+		if got := strings.Trim(cells[1], " `"); got != string(r.outcome) {
+			t.Errorf("%s: the page has outcome %q, callers get %s", r.code, got, r.outcome)
+		}
+		after := strings.TrimSpace(cells[2])
+		if r.retry == 0 && after != "" || !strings.Contains(after, strings.TrimPrefix(fmt.Sprintf("%g", r.retry.Seconds()), "0")) {
+			t.Errorf("%s: the page has Retry-After %q, callers get %s", r.code, after, r.retry)
+		}
+	}
+}
