Write the log events of membership, and drop their doubles

The events 2100 to 2106 were in the catalogue and on the operators' pages, but the host wrote 1020, 1030 and 1031 in their place, and nothing for a replaced member, a data centre that cannot be reached, or a raised incarnation.

Seen on the way and not mended: a raised incarnation is announced, but the work on engines goes on carrying the lower one, so other hosts may cancel it.

--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -116,9 +116,21 @@
 	switch m := f.Effect.(type) {
 	case membership.MemberChanged:
 		p.metrics.Count("member_changes_total", 1, "state", m.State.String())
-		logevent.MemberNoted.Emit(p.log, log.Fields{"member": m.Host, "state": m.State.String(), "incarnation": m.Incarnation})
+		logevent.MemberChanged.Emit(p.log, log.Fields{
+			"member": m.Host, "data_centre": m.DataCentre, "state": m.State.String(), "incarnation": m.Incarnation,
+		})
+	case membership.IncarnationReplaced:
+		logevent.MemberReplaced.Emit(p.log, log.Fields{"member": m.Host, "old": m.Old, "old_state": m.OldState.String()})
+	case membership.DataCentreChanged:
+		event := logevent.DataCentreCutOff
+		if m.Reachable {
+			event = logevent.DataCentreBack
+		}
+		event.Emit(p.log, log.Fields{"data_centre": m.DataCentre})
+	case membership.SelfIncarnation:
+		logevent.SelfRaised.Emit(p.log, log.Fields{"incarnation": m.Incarnation})
 	case membership.Superseded:
-		logevent.MemberSuperseded.Emit(p.log, log.Fields{"address": m.Address, "incarnation": m.Incarnation})
+		logevent.SelfSuperseded.Emit(p.log, log.Fields{"address": m.Address, "incarnation": m.Incarnation})
 		p.Interrupt()
 	}
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if err != nil {
-		logevent.HostListFailed.Emit(p.log, log.Fields{"error": err.Error()})
+		logevent.DirectoryUnreadable.Emit(p.log, log.Fields{"error": err.Error()})
 		return
 	}
 	p.loop.Post(router.HostsListed{Hosts: hosts})
