Serve by the old version of a model until an engine has the new one

Ruled out: holding the configuration back until engines follow; it must be in force within seconds. Change: without a usable engine of the version wanted, those with another version of the same model and adapter serve, and the engine is asked for what it holds. Test: TestVersionChangeLeavesNoGap (refused before).

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -62,7 +62,7 @@
 }
 
 func (c *Core) arrivedModel(now time.Duration, r *request) {
-	engines := c.candidates(r.Model)
+	engines := c.candidates(r.Model).engines
 	if len(engines) == 0 {
 		c.emit(Refuse{ID: r.ID, Code: CodeNoUpstream, RetryAfter: minRetryAfter})
 		return
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -56,6 +56,7 @@
 	c.emit(Send{
 		ID:                r.ID,
 		Attempt:           r.attempt,
+		Model:             c.heldBy(r),
 		Group:             members,
 		Priority:          r.key,
 		Deadline:          r.Deadline,
@@ -64,6 +65,16 @@
 	})
 }
 
+// heldBy is the name under which the leader holds the request's model.
+func (c *Core) heldBy(r *request) string {
+	for _, held := range r.group[0].models {
+		if held == r.Model {
+			return held
+		}
+	}
+	return c.candidates(r.Model).held
+}
+
 func (c *Core) firstTokenTimeout(now time.Duration, r *request) time.Duration {
 	leader := r.group[0]
 	backlog := time.Duration(float64(leader.backlog(now)) / leader.prefillRate(&c.cfg) * float64(time.Second))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -27,7 +27,7 @@
 	// activeShare sums the shares of the organisations that have work.
 	activeShare float64
 	// views caches the candidate engines by model until one of them changes.
-	views   map[string][]*upstream
+	views   map[string]view
 	cancels cancelTable
 	retries retryBudget
 	mix     mix
@@ -56,7 +56,7 @@
 		upstreams:     make(map[string]*upstream),
 		hosts:         make(map[string]peerHost),
 		organisations: make(map[string]*organisation),
-		views:         make(map[string][]*upstream),
+		views:         make(map[string]view),
 		cancels:       newCancelTable(),
 		retries:       retryBudget{tokens: cfg.RetryBurst},
 	}, nil
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -78,7 +78,9 @@
 type Send struct {
 	ID      string
 	Attempt uint32
-	Group   []Member
+	// Model is the name under which the engines hold what was asked for.
+	Model string
+	Group []Member
 	// Priority orders work within the engine, earlier first: the virtual
 	// deadline on the clock of now.
 	Priority time.Duration
--- a/internal/dispatch/naive.go
+++ b/internal/dispatch/naive.go
@@ -5,7 +5,7 @@
 // arrivedNaive admits everything that a live engine could hold and sends it
 // at once; it is the baseline that the default policy is measured against.
 func (c *Core) arrivedNaive(now time.Duration, r *request) {
-	engines := c.candidates(r.Model)
+	engines := c.candidates(r.Model).engines
 	if len(engines) == 0 {
 		c.emit(Refuse{ID: r.ID, Code: CodeNoUpstream, RetryAfter: minRetryAfter})
 		return
@@ -20,7 +20,7 @@
 
 // startNaive picks random engines, as many as the prompt's memory needs.
 func (c *Core) startNaive(now time.Duration, r *request) {
-	engines := c.candidates(r.Model)
+	engines := c.candidates(r.Model).engines
 	if len(engines) == 0 {
 		c.fail(now, r, CodeNoUpstream, minRetryAfter)
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -60,7 +60,7 @@
 		p.failed++
 		return
 	}
-	engines := c.candidates(r.Model)
+	engines := c.candidates(r.Model).engines
 	if len(engines) == 0 {
 		p.failed++
 		return
@@ -316,35 +316,6 @@
 	return fit[:size]
 }
 
-// candidates returns the engines that may serve a model: usable ones of this
-// data centre, else usable ones elsewhere, ordered by name.
-func (c *Core) candidates(model string) []*upstream {
-	if view, ok := c.views[model]; ok {
-		return view
-	}
-	view := c.findCandidates(model)
-	c.views[model] = view
-	return view
-}
-
-func (c *Core) findCandidates(model string) []*upstream {
-	var near, far []*upstream
-	for _, u := range c.engines {
-		if !u.usable() || !u.holds(model) {
-			continue
-		}
-		if u.dataCentre == c.cfg.DataCentre {
-			near = append(near, u)
-		} else {
-			far = append(far, u)
-		}
-	}
-	if len(near) > 0 {
-		return near
-	}
-	return far
-}
-
 // bestCached is the longest prefix that any engine has cached, in tokens.
 func (c *Core) bestCached(engines []*upstream, r *request) int {
 	best := 0
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -171,3 +171,29 @@
 		}
 	}
 }
+
+// TestVersionChangeLeavesNoGap: while engines still hold the old version,
+// requests for the new one are served by it; then by the new one.
+func TestVersionChangeLeavesNoGap(t *testing.T) {
+	c := loneCore(t, 2)
+	model := func(id string) string {
+		e := promptOf(id, "o", 1_000, time.Minute)
+		e.Model = "m@2"
+		for _, f := range c.Step(time.Second, e) {
+			if s, ok := f.(Send); ok {
+				return s.Group[0].Upstream + " " + s.Model
+			}
+		}
+		return "refused"
+	}
+	if got := model("r1"); got != "engine-0 m@1" && got != "engine-1 m@1" {
+		t.Errorf("before the change: %s", got)
+	}
+	c.Step(time.Second, LoadReported{Name: "engine-1", Sent: time.Second, MemoryTotal: 400_000, Models: []string{"m@1", "m@2"}})
+	if got := model("r2"); got != "engine-1 m@2" {
+		t.Errorf("after the change: %s", got)
+	}
+	if sameModel("m@1+a", "m@2") || !sameModel("m@1+a", "m@2+a") || sameModel("n@1", "m@1") {
+		t.Error("models are not told apart by name and adapter")
+	}
+}
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -57,6 +57,7 @@
 	r := *x.Request
 	r.Work = engine.WorkID{Request: f.ID, Attempt: f.Attempt}
 	r.Owner = e.cfg.Owner
+	r.Model = f.Model
 	r.Priority = int(e.clock.Wall(f.Priority).UnixMilli())
 	r.Deadline = x.Deadline
 	r.Offset, r.Delivered = x.position()
