--- a/internal/configuration/experiment/experiment_test.go
+++ b/internal/configuration/experiment/experiment_test.go
@@ -93,6 +93,7 @@
 // TestEveryHostWatchingBreaksTheBudget is the naive way to follow the object API.
 func TestEveryHostWatchingBreaksTheBudget(t *testing.T) {
 	o := Defaults(120, 0)
+	o.Organisations = 100
 	o.New = func(c configuration.Config) Follower {
 		c.Watchers = o.Hosts
 		return configuration.New(c)
