--- a/internal/bench/capacity/roles.go
+++ b/internal/bench/capacity/roles.go
@@ -47,7 +47,6 @@
 	config := dispatch.DefaultConfig()
 	heartbeats := f.members.messages / 2
 	perEngine := 1 / float64(f.probes.engines)
-	// All engines of all data centres are watched.
 	prefixes := f.dispatch.stateOfPrefix * float64(config.MaxPrefixes)
 	changes := float64(aimChangesPerDay) / daySeconds
 	return []quantity{
@@ -57,13 +56,28 @@
 		{what: "dispatch: other hosts' loads", core: aim[experiment.Peer].perSecond(heartbeats)},
 		{what: "dispatch: cached prefixes of 331 engines, all full", memory: prefixes * aimEngines},
 		{what: "probes of 331 engines, both ends", core: f.probes.core * perEngine * aimEngines, memory: f.probes.heap * perEngine * aimEngines, bytes: f.probes.bytes * perEngine * aimEngines},
-		{what: "probes of the 4,969 engines of other data centres, both ends", core: f.probes.core * perEngine * (aimServers - aimEngines), memory: f.probes.heap * perEngine * (aimServers - aimEngines), bytes: f.probes.bytes * perEngine * (aimServers - aimEngines)},
+		r.farProbes(probes),
 		{what: "membership", core: f.members.core, memory: f.members.state, bytes: f.members.bytes},
 		{what: "configuration, a change every 5 s", core: f.configuration.decode.perSecond(changes), memory: float64(f.configuration.catalogue), bytes: 2 * f.configuration.spread.BytesPerSecond},
 		{what: "the platform's list", core: (f.directory.decode.cpu + f.directory.step.cpu).Seconds() * rate(listInterval), memory: float64(f.directory.state), bytes: float64(f.directory.bytes) * rate(listInterval)},
 	}
 }
 
+// farProbes are those of other data centres' engines, at their own rate. A
+// request costs what one to a near engine does.
+func (r *run) farProbes(c probe.Config) quantity {
+	f := r.figures.probes
+	near := rate(c.LoadInterval) + rate(c.CacheInterval)
+	far := rate(c.FarInterval)
+	engines := float64(aimServers-aimEngines) / float64(f.engines)
+	return quantity{
+		what:   "probes of the 4,969 engines of other data centres, both ends",
+		core:   f.core * engines * far / near,
+		memory: f.heap * engines,
+		bytes:  f.bytes * engines * far / near,
+	}
+}
+
 // overload shows what waiting requests add to the dispatch core.
 func (r *run) overload() {
 	f := &r.figures
