--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -78,7 +78,7 @@
 	}
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	var group run.Group
-	group.Add(stop.OnSignal(nil, func() {}))
+	group.Add(stop.OnSignal(nil, func() error { return nil }))
 	if err := c.run(logger, &group); err != nil {
 		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
 		return exitFailed
--- a/internal/callers/problem.go
+++ b/internal/callers/problem.go
@@ -64,9 +64,17 @@
 	dispatch.CodeGivenUp: {
 		http.StatusServiceUnavailable, "The admitted request could not finish within its time limit any more.",
 	},
-	dispatch.CodeUpstream:   {http.StatusBadGateway, "The upstream failed."},
-	dispatch.CodeCallerGone: {statusClientClosed, "The caller hung up."},
-	dispatch.CodeClaimed:    {http.StatusConflict, "Another request holds the idempotency key."},
+	dispatch.CodeUpstream:      {http.StatusBadGateway, "The upstream failed."},
+	dispatch.CodeCallerGone:    {statusClientClosed, "The caller hung up."},
+	dispatch.CodeClaimed:       {http.StatusConflict, "Another request holds the idempotency key."},
+	traffic.CodeInProgress:     {http.StatusConflict, "Another request with the idempotency key is in progress."},
+	traffic.CodeOutcomeUnknown: {http.StatusConflict, "What became of an earlier request with the idempotency key is not known."},
+	traffic.CodeKeyReused:      {http.StatusUnprocessableEntity, "The idempotency key was used with another body."},
+	traffic.CodeKeyExpired:     {http.StatusUnprocessableEntity, "The idempotency key is older than keys are remembered."},
+	traffic.CodeKeyRefused:     {http.StatusUnprocessableEntity, "The idempotency key is not accepted."},
+	traffic.CodeClaimsUnavailable: {
+		http.StatusServiceUnavailable, "Actions that may not be repeated can't be claimed now.",
+	},
 }
 
 // problem makes a document for a code.
--- a/internal/controller/process/run.go
+++ b/internal/controller/process/run.go
@@ -17,7 +17,10 @@
 // AddTo adds the process's actors to a group, which runs them until one ends.
 func (p *Process) AddTo(g *run.Group) error {
 	stopped := make(chan struct{})
-	await, interrupt := stop.OnSignal(nil, func() { p.stop(stopped) })
+	await, interrupt := stop.OnSignal(nil, func() error {
+		p.stop(stopped)
+		return nil
+	})
 	listener, err := net.Listen("tcp", p.settings.Admin)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators (--admin)")
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -132,7 +133,7 @@
 // that is over, or of an attempt given up. Work of an earlier incarnation is
 // left to the other hosts, which know whether that one is still finishing it.
 func (c *Core) ownOrphan(w HeldWork) bool {
-	if w.Incarnation != c.cfg.Incarnation {
+	if !slices.Contains(c.incarnations, w.Incarnation) {
 		return c.sharers() == 1
 	}
 	r := c.requests[w.ID]
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,7 +22,9 @@
 	engines  []*upstream
 	services []*upstream
 
-	hosts         map[string]peerHost
+	hosts map[string]peerHost
+	// incarnations are those that this process has gone by.
+	incarnations  []uint64
 	organisations map[string]*organisation
 	// activeShare sums the shares of the organisations that have work.
 	activeShare float64
@@ -55,6 +57,7 @@
 		requests:      make(map[string]*request),
 		upstreams:     make(map[string]*upstream),
 		hosts:         make(map[string]peerHost),
+		incarnations:  []uint64{cfg.Incarnation},
 		organisations: make(map[string]*organisation),
 		views:         make(map[string]view),
 		cancels:       newCancelTable(),
@@ -123,6 +126,8 @@
 		c.hostChanged(e)
 	case HostReplaced:
 		c.hostReplaced(e)
+	case IncarnationRaised:
+		c.incarnations = append(c.incarnations, e.Incarnation)
 	case WorkListed:
 		c.workListed(now, e)
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -198,6 +198,10 @@
 	Leaving bool
 }
 
+// IncarnationRaised says that this host goes by a higher incarnation from now
+// on; work under the earlier ones is still its own.
+type IncarnationRaised struct{ Incarnation uint64 }
+
 // HeldWork is one entry of an engine's work list.
 type HeldWork struct {
 	ID          string
@@ -221,23 +225,24 @@
 // Shutdown says that the host stops: nothing new is admitted.
 type Shutdown struct{}
 
-func (Arrived) event()          {}
-func (FirstToken) event()       {}
-func (Finished) event()         {}
-func (AttemptFailed) event()    {}
-func (Stalled) event()          {}
-func (Reserved) event()         {}
-func (CallerGone) event()       {}
-func (Cancelled) event()        {}
-func (UpstreamListed) event()   {}
-func (UpstreamUnlisted) event() {}
-func (UpstreamLeaving) event()  {}
-func (LoadReported) event()     {}
-func (ReportFailed) event()     {}
-func (CacheReported) event()    {}
-func (PeerReported) event()     {}
-func (HostChanged) event()      {}
-func (HostReplaced) event()     {}
-func (WorkListed) event()       {}
-func (Tick) event()             {}
-func (Shutdown) event()         {}
+func (Arrived) event()           {}
+func (FirstToken) event()        {}
+func (Finished) event()          {}
+func (AttemptFailed) event()     {}
+func (Stalled) event()           {}
+func (Reserved) event()          {}
+func (CallerGone) event()        {}
+func (Cancelled) event()         {}
+func (UpstreamListed) event()    {}
+func (UpstreamUnlisted) event()  {}
+func (UpstreamLeaving) event()   {}
+func (LoadReported) event()      {}
+func (ReportFailed) event()      {}
+func (CacheReported) event()     {}
+func (PeerReported) event()      {}
+func (HostChanged) event()       {}
+func (HostReplaced) event()      {}
+func (IncarnationRaised) event() {}
+func (WorkListed) event()        {}
+func (Tick) event()              {}
+func (Shutdown) event()          {}
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -128,6 +128,7 @@
 		}
 		event.Emit(p.log, log.Fields{"data_centre": m.DataCentre})
 	case membership.SelfIncarnation:
+		p.executor.SetIncarnation(m.Incarnation)
 		logevent.SelfRaised.Emit(p.log, log.Fields{"incarnation": m.Incarnation})
 	case membership.Superseded:
 		logevent.SelfSuperseded.Emit(p.log, log.Fields{"address": m.Address, "incarnation": m.Incarnation})
--- a/internal/host/guard.go
+++ b/internal/host/guard.go
@@ -13,16 +13,6 @@
 	"github.com/chestnutline/chestnutline/internal/traffic"
 )
 
-// Codes of refused claims.
-const (
-	codeInProgress  dispatch.Code = "action_in_progress"
-	codeUnknown     dispatch.Code = "action_outcome_unknown"
-	codeKeyReused   dispatch.Code = "idempotency_key_reused"
-	codeKeyExpired  dispatch.Code = "idempotency_key_expired"
-	codeKeyRefused  dispatch.Code = "idempotency_key_refused"
-	codeUnavailable dispatch.Code = "claims_unavailable"
-)
-
 // inProgressRetry is when to ask again for an action in progress.
 const inProgressRetry = time.Second
 
@@ -41,26 +31,26 @@
 }
 
 var refusals = map[claim.Decision]refusal{
-	shard.Refused: {codeUnavailable, dispatch.OutcomeNotRun, "the claim could not be made durable; nothing was sent", time.Second},
-	shard.Full:    {codeUnavailable, dispatch.OutcomeNotRun, "there is no room for another claim; nothing was sent", time.Second},
+	shard.Refused: {traffic.CodeClaimsUnavailable, dispatch.OutcomeNotRun, "the claim could not be made durable; nothing was sent", time.Second},
+	shard.Full:    {traffic.CodeClaimsUnavailable, dispatch.OutcomeNotRun, "there is no room for another claim; nothing was sent", time.Second},
 	shard.InProgress: {
-		codeInProgress, dispatch.OutcomeUnknown, "another request with this key is being carried out", inProgressRetry,
+		traffic.CodeInProgress, dispatch.OutcomeUnknown, "another request with this key is being carried out", inProgressRetry,
 	},
 	shard.OutcomeUnknown: {
-		codeUnknown, dispatch.OutcomeUnknown, "another request with this key ended without a known outcome; it is not run again", 0,
+		traffic.CodeOutcomeUnknown, dispatch.OutcomeUnknown, "another request with this key ended without a known outcome; it is not run again", 0,
 	},
-	shard.Mismatch:   {codeKeyReused, dispatch.OutcomeNotRun, "the key was used with another body", 0},
-	shard.TooOld:     {codeKeyExpired, dispatch.OutcomeNotRun, "the key's date is older than keys are remembered", 0},
-	shard.TooNew:     {codeKeyRefused, dispatch.OutcomeNotRun, "the key's date lies in the future", 0},
-	shard.Undated:    {codeKeyRefused, dispatch.OutcomeNotRun, "the key carries no date", 0},
-	shard.Unreadable: {codeUnavailable, dispatch.OutcomeNotRun, "the recorded claims can't be read; nothing was sent", time.Minute},
+	shard.Mismatch:   {traffic.CodeKeyReused, dispatch.OutcomeNotRun, "the key was used with another body", 0},
+	shard.TooOld:     {traffic.CodeKeyExpired, dispatch.OutcomeNotRun, "the key's date is older than keys are remembered", 0},
+	shard.TooNew:     {traffic.CodeKeyRefused, dispatch.OutcomeNotRun, "the key's date lies in the future", 0},
+	shard.Undated:    {traffic.CodeKeyRefused, dispatch.OutcomeNotRun, "the key carries no date", 0},
+	shard.Unreadable: {traffic.CodeClaimsUnavailable, dispatch.OutcomeNotRun, "the recorded claims can't be read; nothing was sent", time.Minute},
 }
 
 // Claim implements traffic.Guard.
 func (g *claimGuard) Claim(ctx context.Context, a traffic.Action) traffic.Permit {
 	key, findings := claim.ParseKey(a.Organisation, a.Kind, a.Key)
 	if err := findings.Err(); err != nil {
-		return traffic.Permit{Code: codeKeyRefused, Outcome: dispatch.OutcomeNotRun, Detail: err.Error()}
+		return traffic.Permit{Code: traffic.CodeKeyRefused, Outcome: dispatch.OutcomeNotRun, Detail: err.Error()}
 	}
 	answer := g.claimer.Claim(ctx, key, a.Fingerprint, a.Deadline)
 	switch answer.Decision {
--- a/internal/host/member_test.go
+++ b/internal/host/member_test.go
@@ -6,9 +6,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
+	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/membership"
 	"github.com/chestnutline/chestnutline/internal/router"
 	"github.com/chestnutline/chestnutline/internal/telemetry"
+	"github.com/chestnutline/chestnutline/internal/traffic"
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
@@ -32,6 +34,7 @@
 			log:         &log.Logger{Handler: handler, Level: log.DebugLevel},
 			metrics:     telemetry.New(),
 			interrupted: make(chan struct{}),
+			executor:    traffic.NewExecutor(traffic.Config{}, clock.Start(), nil, nil, nil, nil),
 		}
 		p.noteMember(router.MemberNoted{Effect: one.effect})
 		if len(handler.Entries) != 1 || handler.Entries[0].Fields["event"] != one.event {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -108,9 +108,12 @@
 	p.loop.Inspect(ctx, func(c *router.Core) { p.hosts.Store(int64(c.Hosts())) })
 }
 
+// flushLimit bounds the sending of the last messages to other hosts.
+const flushLimit = time.Second
+
 // Drain stops the host gracefully: nothing new is admitted, requests in flight
-// finish, and only then it returns.
-func (p *Process) Drain() {
+// finish, and only then it returns. It fails when the drain limit passes first.
+func (p *Process) Drain() error {
 	logevent.ProcessStopping.Emit(p.log, log.Fields{"host": p.settings.Host})
 	p.callers.Drain()
 	p.loop.Post(router.Shutdown{})
@@ -120,12 +123,21 @@
 	case <-p.drained:
 	case <-limit.C:
 		logevent.DrainLimitReached.Emit(p.log, log.Fields{"limit": p.settings.DrainLimit.String()})
-		return
+		return errors.Errorf("requests were still in flight after the drain limit of %s", p.settings.DrainLimit)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
 	defer cancel()
-	_ = p.callers.Shutdown(ctx)
-	if p.claimer != nil {
-		_ = p.claimer.Close(ctx)
+	err := p.callers.Shutdown(ctx)
+	if p.claimer != nil && err == nil {
+		err = p.claimer.Close(ctx)
 	}
+	p.sayGoodbye()
+	return err
+}
+
+// sayGoodbye waits until the other hosts were told that this one is gone.
+func (p *Process) sayGoodbye() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushLimit)
+	defer cancel()
+	p.peers.Flush(ctx)
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -119,8 +119,14 @@
 }
 
 func (c *Core) dispatched(now time.Duration, ev dispatch.Event) {
+	drained := false
 	for _, f := range c.dispatch.Step(now, ev) {
 		c.emit(Work{Effect: f})
+		_, last := f.(dispatch.Drained)
+		drained = drained || last
+	}
+	if drained {
+		c.membershipEffects(now, c.members.Step(now, membership.Stop{}))
 	}
 }
 
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -32,7 +32,10 @@
 			c.emit(MemberNoted{Effect: m})
 			leaving := m.OldState == wire.Leaving
 			c.dispatched(now, dispatch.HostReplaced{Host: m.Host, Old: m.Old, Leaving: leaving})
-		case membership.Superseded, membership.SelfIncarnation, membership.DataCentreChanged:
+		case membership.SelfIncarnation:
+			c.emit(MemberNoted{Effect: m})
+			c.dispatched(now, dispatch.IncarnationRaised{Incarnation: m.Incarnation})
+		case membership.Superseded, membership.DataCentreChanged:
 			c.emit(MemberNoted{Effect: m})
 		}
 	}
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -9,9 +9,9 @@
 )
 
 // OnSignal returns an actor that ends on SIGTERM, on SIGINT, or when also is
-// closed, after it has run drain. Signals are caught from the call on: make it
+// closed, with the result of drain, which it runs first. Signals are caught from the call on: make it
 // before anything that others can see, such as an open port.
-func OnSignal(also <-chan struct{}, drain func()) (execute func() error, interrupt func(error)) {
+func OnSignal(also <-chan struct{}, drain func() error) (execute func() error, interrupt func(error)) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	done := make(chan struct{})
@@ -22,8 +22,7 @@
 		case <-done:
 			return nil
 		}
-		drain()
-		return nil
+		return drain()
 	}
 	interrupt = func(error) {
 		signal.Stop(signals)
--- a/internal/traffic/executor.go
+++ b/internal/traffic/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,7 +17,7 @@
 
 // Config holds the parameters of an Executor.
 type Config struct {
-	// Owner is put on every piece of work.
+	// Owner is put on every piece of work at first.
 	Owner engine.Owner
 	// SilenceTimeout is how long a stream may be silent between pieces.
 	SilenceTimeout time.Duration
@@ -36,6 +37,9 @@
 	// report hands an event to the control thread.
 	report func(dispatch.Event)
 
+	// owner is put on every piece of work.
+	owner atomic.Pointer[engine.Owner]
+
 	mu        sync.Mutex
 	exchanges map[string]*Exchange
 	running   sync.WaitGroup
@@ -43,7 +47,7 @@
 
 // NewExecutor returns an executor that hands its events to report.
 func NewExecutor(cfg Config, c clock.Clock, engines engine.Client, services service.Client, guard Guard, report func(dispatch.Event)) *Executor {
-	return &Executor{
+	e := &Executor{
 		cfg:       cfg,
 		clock:     c,
 		engines:   engines,
@@ -52,6 +56,13 @@
 		report:    report,
 		exchanges: make(map[string]*Exchange),
 	}
+	e.owner.Store(&cfg.Owner)
+	return e
+}
+
+// SetIncarnation changes the incarnation on all later work.
+func (e *Executor) SetIncarnation(incarnation uint64) {
+	e.owner.Store(&engine.Owner{Host: e.cfg.Owner.Host, Incarnation: incarnation})
 }
 
 // Open registers an exchange; call it before its Arrived event is posted.
@@ -146,7 +157,7 @@
 	defer cancel()
 	err := e.engines.Reserve(ctx, f.Address, engine.Reservation{
 		Work:     engine.WorkID{Request: f.ID, Attempt: f.Attempt},
-		Owner:    e.cfg.Owner,
+		Owner:    *e.owner.Load(),
 		Tokens:   f.Tokens,
 		Deadline: e.clock.Wall(f.Deadline),
 	})
--- a/internal/traffic/guard.go
+++ b/internal/traffic/guard.go
@@ -8,6 +8,16 @@
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 )
 
+// Codes of actions that are not carried out.
+const (
+	CodeInProgress        dispatch.Code = "action_in_progress"
+	CodeOutcomeUnknown    dispatch.Code = "action_outcome_unknown"
+	CodeKeyReused         dispatch.Code = "idempotency_key_reused"
+	CodeKeyExpired        dispatch.Code = "idempotency_key_expired"
+	CodeKeyRefused        dispatch.Code = "idempotency_key_refused"
+	CodeClaimsUnavailable dispatch.Code = "claims_unavailable"
+)
+
 // Action names one action that may not be repeated.
 type Action struct {
 	Organisation string
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -56,7 +56,7 @@
 func (e *Executor) request(x *Exchange, f dispatch.Send) engine.Request {
 	r := *x.Request
 	r.Work = engine.WorkID{Request: f.ID, Attempt: f.Attempt}
-	r.Owner = e.cfg.Owner
+	r.Owner = *e.owner.Load()
 	r.Model = f.Model
 	r.Priority = int(e.clock.Wall(f.Priority).UnixMilli())
 	r.Deadline = x.Deadline
