Leave work alone that somebody reads; start in an outage by the peers' list

Two hosts of a data centre that lose each other each believe the other dead and would cancel its live requests. A host that started while the platform was down said it was ready and refused everything with no_upstream, as upstreams came from the platform alone. Ruled out: a third witness, as today's data centres have two hosts. Change: engines' work lists tell whether an open connection reads the answer (or holds the work for its leader); such work is cancelled only past its deadline. A host without a list asks the live hosts of its data centre for theirs once a second, and is not ready without one. Tests: TestReadWorkOfAHostBelievedDeadIsLeftAlone, TestHostWithoutThePlatformServesByItsPeersList (not ready, then serves). A frozen owner's work is now given back at its deadline, not at its death.

--- a/internal/callers/limits_test.go
+++ b/internal/callers/limits_test.go
@@ -83,6 +83,7 @@
 			}
 		},
 		Catalogue:      func() *Catalogue { return catalogue },
+		Listed:         func() bool { return true },
 		MaxConnections: connections,
 		Timeouts:       testTimeouts(),
 	})
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -50,6 +50,8 @@
 	Post func(dispatch.Event)
 	// Catalogue returns the configuration in force, nil while there is none.
 	Catalogue func() *Catalogue
+	// Listed says whether any upstreams are known.
+	Listed func() bool
 	// MaxConnections bounds the open connections; 0 is no bound.
 	MaxConnections int
 	// Timeouts are the default ones if zero.
@@ -126,6 +128,9 @@
 	if s.cfg.Catalogue() == nil {
 		return c.String(http.StatusServiceUnavailable, "no configuration is known\n")
 	}
+	if !s.cfg.Listed() {
+		return c.String(http.StatusServiceUnavailable, "no list of upstreams is known\n")
+	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -123,6 +123,10 @@
 	if !known || owner.finishing == w.Incarnation {
 		return false
 	}
+	if w.Attached {
+		// An owner that reads is alive, whatever membership believes.
+		return false
+	}
 	if owner.incarnation > w.Incarnation {
 		return true
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -211,6 +211,9 @@
 	// Deadline is on the clock of now.
 	Deadline time.Duration
 	Tokens   int
+	// Attached says that somebody reads the answer, or holds the work for its
+	// group's leader.
+	Attached bool
 }
 
 // WorkListed carries an engine's list of work that holds memory.
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -197,3 +197,17 @@
 		t.Error("models are not told apart by name and adapter")
 	}
 }
+
+// TestReadWorkOfAHostBelievedDeadIsLeftAlone: two hosts that lose each other
+// each believe the other dead; neither may cancel what the other still reads.
+func TestReadWorkOfAHostBelievedDeadIsLeftAlone(t *testing.T) {
+	c := loneCore(t, 1)
+	c.Step(0, HostChanged{Host: "h2", Incarnation: 1, State: HostDead})
+	for _, attached := range []bool{true, false} {
+		work := HeldWork{ID: "w", Attempt: 1, Host: "h2", Incarnation: 1, Deadline: time.Minute, Tokens: 5, Attached: attached}
+		effects := c.Step(time.Second, WorkListed{Name: "engine-0", Work: []HeldWork{work}})
+		if cancelled := len(effects) > 0; cancelled == attached {
+			t.Errorf("attached %v: cancelled %v", attached, cancelled)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -124,6 +124,9 @@
 	Deadline time.Time `json:"deadline"`
 	// Tokens is the KV memory held.
 	Tokens int `json:"tokens"`
+	// Attached says that an open connection delivers the work's answer, or
+	// holds the work for its group's leader.
+	Attached bool `json:"attached"`
 }
 
 // CacheEvent tells that a prompt prefix entered or left the engine's cache.
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -32,6 +32,8 @@
 		p.configure(f.Effect)
 	case router.MemberNoted:
 		p.noteMember(f)
+	case router.Listed:
+		p.listed.Store(true)
 	case router.Probe:
 		p.watch(f.Targets)
 	}
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -63,7 +63,9 @@
 
 	catalogue atomic.Pointer[callers.Catalogue]
 	hosts     atomic.Int64
-	drained   chan struct{}
+	// listed says that the upstreams are known.
+	listed  atomic.Bool
+	drained chan struct{}
 	// interrupted is closed when the process must stop by itself.
 	interrupted   chan struct{}
 	interruptOnce sync.Once
@@ -145,6 +147,7 @@
 		Executor:       p.executor,
 		Post:           post,
 		Catalogue:      p.catalogue.Load,
+		Listed:         p.listed.Load,
 		MaxConnections: p.settings.MaxConnections,
 	})
 	p.admin = admin.NewServer(p, p.metrics, p.journal)
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -227,6 +227,7 @@
 			Incarnation: w.Owner.Incarnation,
 			Deadline:    p.clock.Since(w.Deadline),
 			Tokens:      w.Tokens,
+			Attached:    w.Attached,
 		}
 	}
 	p.report(dispatch.WorkListed{Name: t.Name, Work: list})
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -33,6 +33,11 @@
 	// addresses of the other hosts, by name.
 	addresses map[string]string
 	upstreams listing
+	// listed says that a list of upstreams is known; until then a peer is
+	// asked for one, at nextListing the next time.
+	listed       bool
+	nextListing  time.Duration
+	listingAsked int
 	// nextMember and nextTracker are when the slower clocks advance.
 	nextMember  time.Duration
 	nextTracker time.Duration
@@ -91,6 +96,7 @@
 	if now >= c.nextMember {
 		c.nextMember = now + c.cfg.MemberInterval
 		c.tell(now)
+		c.askForListing(now)
 		c.membershipEffects(now, c.members.Tick(now))
 	}
 	if now >= c.nextTracker {
@@ -136,9 +142,10 @@
 	c.dispatched(now, dispatch.Shutdown{})
 }
 
-// Ready says whether a configuration is in force and the host is not leaving.
+// Ready says whether a configuration is in force, the upstreams are known and
+// the host is not leaving.
 func (c *Core) Ready() bool {
-	return c.tracker.Ready() && !c.leaving
+	return c.tracker.Ready() && c.listed && !c.leaving
 }
 
 // ConfigVersion is the version of the configuration in force, 0 for none.
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// TestHostWithoutThePlatformServesByItsPeersList: a host that starts in an
+// outage is not ready before a peer has given it the list of upstreams.
+func TestHostWithoutThePlatformServesByItsPeersList(t *testing.T) {
+	p := newPair(t)
+	p.step(0, "h1", HostsListed{Hosts: hosts()})
+	if p.nodes["h2"].core.Ready() {
+		t.Error("ready with nothing known")
+	}
+	p.run(0, 20*time.Second)
+	if !p.nodes["h2"].core.Ready() {
+		t.Fatal("not ready although a peer knows everything")
+	}
+	report := dispatch.LoadReported{Name: "e1", Sent: 20 * time.Second, MemoryTotal: 400_000, Models: []string{"m@1"}}
+	p.step(20*time.Second, "h2", Dispatched{Event: report})
+	arrived := dispatch.Arrived{ID: "x", Model: "m@1", PromptTokens: 100, MaxTokens: 10, Deadline: time.Minute}
+	p.step(20*time.Second, "h2", Dispatched{Event: arrived})
+	if p.nodes["h2"].sent != 1 {
+		t.Error("the peer's engine got no work")
+	}
+}
+
 // TestRecordedLogReplays feeds a host's recorded events to a fresh core and
 // compares the effects byte for byte.
 func TestRecordedLogReplays(t *testing.T) {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -53,6 +53,8 @@
 	Configure struct{ Effect configuration.Effect }
 	// MemberNoted tells what is now believed of a host, for the log.
 	MemberNoted struct{ Effect membership.Effect }
+	// Listed says that the upstreams are known for the first time.
+	Listed struct{}
 	// Probe gives the upstreams to watch.
 	Probe struct{ Targets []Target }
 )
@@ -71,4 +73,5 @@
 func (SendPeer) effect()    {}
 func (Configure) effect()   {}
 func (MemberNoted) effect() {}
+func (Listed) effect()      {}
 func (Probe) effect()       {}
--- a/internal/router/hosts.go
+++ b/internal/router/hosts.go
@@ -31,6 +31,15 @@
 		upstreams[h.Name] = h
 	}
 	c.membershipEffects(now, c.members.Step(now, membership.DirectoryListed{Hosts: entries}))
+	c.setUpstreams(now, upstreams)
+}
+
+// setUpstreams puts a list of upstreams in force.
+func (c *Core) setUpstreams(now time.Duration, upstreams listing) {
+	if !c.listed {
+		c.listed = true
+		c.emit(Listed{})
+	}
 	if c.listUpstreams(now, upstreams) {
 		c.emit(Probe{Targets: c.targets()})
 	}
--- a/internal/router/intent.go
+++ b/internal/router/intent.go
@@ -10,11 +10,14 @@
 	"github.com/chestnutline/chestnutline/internal/wire"
 )
 
-// Topics of the messages by which hosts pass the configuration on.
+// Topics of the messages by which hosts pass on the configuration and, to a
+// host that has none, the list of upstreams.
 const (
 	topicAnnouncement wire.Topic = iota + 1
 	topicPartRequest
 	topicPartAnswer
+	topicListingRequest
+	topicListing
 )
 
 // configured steps the configuration's tracker.
@@ -51,10 +54,13 @@
 	c.emit(SendPeer{To: address, Message: m})
 }
 
-// carriedReceived handles the messages by which hosts pass the configuration
-// on. One that can't be decoded is dropped, as if lost.
+// carriedReceived handles the messages of the topics above. One that can't be decoded is dropped, as if lost.
 func (c *Core) carriedReceived(now time.Duration, from string, m wire.Carried) {
 	switch m.Topic {
+	case topicListingRequest:
+		c.answerListing(from)
+	case topicListing:
+		c.listingReceived(now, m.Body)
 	case topicPartRequest:
 		var request configuration.PartRequest
 		if msgpack.Unmarshal(m.Body, &request) == nil {
--- a/internal/standin/batch/engine.go
+++ b/internal/standin/batch/engine.go
@@ -209,7 +209,9 @@
 	list := make([]api.Work, 0, len(e.works))
 	for _, w := range e.works {
 		if w.held > 0 {
-			list = append(list, api.Work{Work: w.Work, Owner: w.Owner, Deadline: w.Deadline, Tokens: w.held})
+			list = append(list, api.Work{
+				Work: w.Work, Owner: w.Owner, Deadline: w.Deadline, Tokens: w.held, Attached: attached(w.Observer),
+			})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -222,6 +224,14 @@
 	return list
 }
 
+// Reader is implemented by an Observer that knows whether anybody reads.
+type Reader interface{ Attached() bool }
+
+func attached(o Observer) bool {
+	r, ok := o.(Reader)
+	return ok && r.Attached()
+}
+
 // hold takes memory; cached blocks give way.
 func (e *Engine) hold(tokens int) error {
 	if e.refusing || tokens > e.config.MemoryTokens-e.counters.Held {
--- a/internal/standin/engine/feed.go
+++ b/internal/standin/engine/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/chestnutline/chestnutline/internal/standin/batch"
 )
@@ -14,11 +15,23 @@
 	// base is the index in the answer of the first token produced.
 	base int
 
+	// readers counts the connections that deliver or hold the work.
+	readers atomic.Int64
+
 	mu       sync.Mutex
 	progress batch.Progress
 	waiters  []chan struct{}
 }
 
+// Attached implements batch.Reader.
+func (f *feed) Attached() bool { return f.readers.Load() > 0 }
+
+// attach counts a connection until the function returned is called.
+func (f *feed) attach() (detach func()) {
+	f.readers.Add(1)
+	return func() { f.readers.Add(-1) }
+}
+
 // Update implements batch.Observer. From then on tokens count from the
 // answer's beginning.
 func (f *feed) Update(p batch.Progress) {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -147,6 +147,7 @@
 	w.WriteHeader(http.StatusOK)
 	w.Flush()
 	request := c.Request().Context()
+	defer f.attach()()
 	news := func(p batch.Progress) bool { return p.Produced > offset || p.Finish != "" }
 	changed := f.subscribe()
 	defer f.unsubscribe(changed)
--- a/internal/standin/engine/group.go
+++ b/internal/standin/engine/group.go
@@ -135,6 +135,7 @@
 	l.poke()
 	request := c.Request().Context()
 	done := func(p batch.Progress) bool { return p.Prefilled || p.Finish != "" }
+	defer f.attach()()
 	changed := f.subscribe()
 	defer f.unsubscribe(changed)
 	if p, ok := f.await(changed, done, l.ctx, request); !ok || p.Finish != "" {
