Count ordered loads against the share of a model that changes

TestVersionChangesRoll failed with 4 of 12 and passes with 3. A stopping controller no longer logs its own cancelled watch as 5031.

--- a/internal/controller/experiment/check.go
+++ b/internal/controller/experiment/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/chestnutline/chestnutline/internal/controller"
 	"github.com/chestnutline/chestnutline/internal/order"
@@ -35,6 +36,22 @@
 		}
 	}
 	w.Result.MostLoading = max(w.Result.MostLoading, n)
+	for _, m := range w.accepted.Models {
+		w.Result.MostRolling = max(w.Result.MostRolling, w.rolling(m.Name+"@"))
+	}
+}
+
+// rolling counts the engines that load a version of a model and serve another.
+func (w *World) rolling(prefix string) int {
+	n := 0
+	for _, e := range w.engines {
+		ofModel := func(held string) bool { return strings.HasPrefix(held, prefix) && !strings.Contains(held, "+") }
+		s := e.status()
+		if e.alive() && slices.ContainsFunc(s.Models, ofModel) && slices.ContainsFunc(s.Loading, ofModel) {
+			n++
+		}
+	}
+	return n
 }
 
 // checkSettled checks that the engines hold what is wanted, and no other version.
--- a/internal/controller/experiment/experiment_test.go
+++ b/internal/controller/experiment/experiment_test.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// TestVersionChangesRoll: of 12 engines, 3 change a model's version at once.
+func TestVersionChangesRoll(t *testing.T) {
+	c := DefaultConfig(1)
+	c.Engines = 12
+	c.Preloaded = []string{"judge@1", "judge@1+a"}
+	c.Configurations = []intent.Configuration{Configuration("1", 0), Configuration("2", 0)}
+	r := Run(c).Result
+	if len(r.Violations) > 0 || r.MostRolling != 3 {
+		t.Fatalf("%d engines changed at once, want 3\n%s", r.MostRolling, report(r))
+	}
+}
+
 // TestNoHolderWithoutThePlatform takes the object API away for good: the
 // holder stops, nobody takes over, and no order is given.
 func TestNoHolderWithoutThePlatform(t *testing.T) {
--- a/internal/controller/experiment/world.go
+++ b/internal/controller/experiment/world.go
@@ -45,6 +45,9 @@
 	Bytes, EngineCalls int
 	// MostLoading is the most engines that loaded at the same time.
 	MostLoading int
+	// MostRolling is the most engines that changed a model's version at the
+	// same time.
+	MostRolling int
 	// RepairedAfter is when the engines last came to hold what is wanted.
 	RepairedAfter time.Duration
 }
--- a/internal/controller/process/calls.go
+++ b/internal/controller/process/calls.go
@@ -55,6 +55,9 @@
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
 	read, err := p.follower.read(ctx, f)
+	if p.life.Err() != nil {
+		return
+	}
 	if err != nil {
 		logevent.ControllerConfigurationUnread.Emit(p.log, log.Fields{"error": err.Error()})
 		read = controller.ConfigurationRead{Failed: true}
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -29,7 +29,7 @@
 func (c *Core) send(now time.Duration, s *state, load, unload []string) {
 	s.pending = &pending{token: c.nextToken(), load: load, unload: unload}
 	s.fresh = false
-	s.loadSent = s.loadSent || len(load) > 0
+	s.loadSent = append(s.loadSent, load...)
 	c.emit(Send{
 		Engine:   s.Name,
 		Address:  s.Address,
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -33,8 +33,8 @@
 	status       Status
 	// statusAt is when the report was asked for.
 	statusAt time.Duration
-	// loadSent says that a load was ordered since the report.
-	loadSent bool
+	// loadSent lists what was ordered to be loaded since the report.
+	loadSent []string
 	// unsettled says that an order of this term may still be run, as long as
 	// the engine's last order is the one named by unsettledAfter.
 	unsettled      bool
@@ -65,12 +65,12 @@
 }
 
 func (s *state) loads(name string) bool {
-	return slices.Contains(s.status.Loading, name) || s.pending != nil && slices.Contains(s.pending.load, name)
+	return slices.Contains(s.status.Loading, name) || slices.Contains(s.loadSent, name)
 }
 
 // busy says whether the engine loads anything.
 func (s *state) busy() bool {
-	return len(s.status.Loading) > 0 || s.loadSent
+	return len(s.status.Loading)+len(s.loadSent) > 0
 }
 
 // steady says whether the engine holds what it reported until it gets another
@@ -168,7 +168,7 @@
 		s.loadingSince = now
 	}
 	s.count(report)
-	s.known, s.fresh, s.loadSent = true, true, false
+	s.known, s.fresh, s.loadSent = true, true, nil
 	s.status, s.statusAt = report, s.askedAt
 	if report.LastOrder != s.unsettledAfter {
 		s.unsettled = false
