--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -50,6 +50,9 @@
 	if err := p.ParseArgs(args); err != nil {
 		return usage(finding.List{{Place: "arguments", Problem: err.Error()}})
 	}
+	if findings := settings.CheckArguments(p, args); len(findings) > 0 {
+		return usage(findings)
+	}
 	for _, c := range commands {
 		if c.sub.Used {
 			return c.start()
@@ -75,7 +78,7 @@
 	}
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	var group run.Group
-	group.Add(stop.OnSignal(nil, func() {}))
+	group.Add(stop.OnSignal(nil, func() error { return nil }))
 	if err := c.run(logger, &group); err != nil {
 		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
 		return exitFailed
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -22,12 +22,14 @@
 	engines  []*upstream
 	services []*upstream
 
-	hosts         map[string]peerHost
+	hosts map[string]peerHost
+	// incarnations are those that this process has gone by.
+	incarnations  []uint64
 	organisations map[string]*organisation
 	// activeShare sums the shares of the organisations that have work.
 	activeShare float64
 	// views caches the candidate engines by model until one of them changes.
-	views   map[string][]*upstream
+	views   map[string]view
 	cancels cancelTable
 	retries retryBudget
 	mix     mix
@@ -55,8 +57,9 @@
 		requests:      make(map[string]*request),
 		upstreams:     make(map[string]*upstream),
 		hosts:         make(map[string]peerHost),
+		incarnations:  []uint64{cfg.Incarnation},
 		organisations: make(map[string]*organisation),
-		views:         make(map[string][]*upstream),
+		views:         make(map[string]view),
 		cancels:       newCancelTable(),
 		retries:       retryBudget{tokens: cfg.RetryBurst},
 	}, nil
@@ -123,6 +126,8 @@
 		c.hostChanged(e)
 	case HostReplaced:
 		c.hostReplaced(e)
+	case IncarnationRaised:
+		c.incarnations = append(c.incarnations, e.Incarnation)
 	case WorkListed:
 		c.workListed(now, e)
 	}
