Pause a host between claim and answer in a test with real processes

Cause: no test with processes let a host wake up with claims after its peers were asked for the same keys. Change: a host is stopped with 20 actions in flight until after their limits; the naive routers run keys again in the same check.

--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/bench/client"
 	"github.com/chestnutline/chestnutline/internal/bench/fleet"
+	"github.com/chestnutline/chestnutline/internal/bench/workload"
 	"github.com/chestnutline/chestnutline/internal/service"
 )
 
@@ -155,6 +156,65 @@
 	}
 }
 
+// pauseBetween pauses a router with actions at every step between their claim
+// and their answer until long after their limits, repeats the keys elsewhere
+// meanwhile, and lets it go on.
+func (w *world) pauseBetween(f *flight) {
+	const keys = 20
+	paused := w.router(w.host(0, 0))
+	for i := range keys {
+		w.launch(w.ctx, f, w.host(0, 0), w.action(fmt.Sprintf("pause-%d", i)))
+		time.Sleep(spacing / 20)
+	}
+	must(w.t, fleet.Pause(paused))
+	end := time.Now().Add(workload.Limit(workload.ClassService, 0) + time.Second)
+	for time.Now().Before(end) {
+		for i := range keys {
+			w.launch(w.ctx, f, w.host(1, i%2), w.action(fmt.Sprintf("pause-%d", i)))
+		}
+		time.Sleep(time.Second)
+	}
+	must(w.t, fleet.Continue(paused))
+	f.wait.Wait()
+	for i := range keys {
+		w.launch(w.ctx, f, w.host(0, 0), w.action(fmt.Sprintf("pause-%d", i)))
+	}
+	f.wait.Wait()
+}
+
+// TestPausedHostRunsNoActionAgain lets a host wake up with claims that others
+// were asked for meanwhile. What the paused host itself answered came late, as
+// it has to, and is not judged for that.
+func TestPausedHostRunsNoActionAgain(t *testing.T) {
+	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 4, policy: policyDefault})
+	var f flight
+	w.pauseBetween(&f)
+	counts := w.counts()
+	t.Log(tally(f.outcomes))
+	for _, key := range keysRunAgain(counts) {
+		t.Error("run again: ", key)
+	}
+	var others []client.Outcome
+	for _, o := range f.outcomes {
+		if o.Told == client.ToldNotRun && counts.Ran(o.RequestID) {
+			t.Errorf("%s at %s was told not_run and ran", o.Request.Key, o.Address)
+		}
+		if o.Address != w.host(0, 0).Callers {
+			others = append(others, o)
+		}
+	}
+	w.right(others)
+}
+
+func TestNaiveRoutersRunActionsOfAPausedHostAgain(t *testing.T) {
+	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 4, policy: policyNaive})
+	var f flight
+	w.pauseBetween(&f)
+	if len(keysRunAgain(w.counts())) == 0 {
+		t.Error("the check did not notice the naive routers running keys again")
+	}
+}
+
 // TestNaiveRoutersRunActionsWithoutThePlatform is what the check above notices.
 func TestNaiveRoutersRunActionsWithoutThePlatform(t *testing.T) {
 	w := start(t, shape{dataCentres: 2, engines: 2, hosts: 2, policy: policyNaive})
