Send late requests only once the host says that it is stopping

Cause: a signal may take longer than the fixed pause on a busy machine, and requests sent before it was caught are rightly admitted. Change: the test waits for the status; its check is the same.

--- a/internal/promise/shutdown_test.go
+++ b/internal/promise/shutdown_test.go
@@ -28,7 +28,10 @@
 	w.underWay(0, 9)
 	router := w.router(stopping)
 	must(t, fleet.Drain(router))
-	time.Sleep(poll)
+	w.eventually("the host says that it is stopping", 5*time.Second, func() bool {
+		status, err := w.fleet.Status(w.ctx, stopping)
+		return err == nil && status.Draining
+	})
 	var late flight
 	for i := range 10 {
 		w.launch(w.ctx, &late, stopping, w.prompt(1000, 16, streamLimit))
