Send claims to the host that writes their object

Change: claim.Peers over the messages between hosts; owners are the live hosts by rendezvous hashing; a wrong or lost owner costs a refusal or a write, never a second run. Tests: TestClaimsGoThroughTheirOwner (one grant a key over three hosts, with messages arriving and all lost), TestDeadHostsOwnNothing.

--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -117,6 +117,7 @@
 func (p *Process) noteMember(f router.MemberNoted) {
 	switch m := f.Effect.(type) {
 	case membership.MemberChanged:
+		p.claims.memberChanged(m.Host, m.Address, m.State)
 		p.metrics.Count("member_changes_total", 1, "state", m.State.String())
 		logevent.MemberChanged.Emit(p.log, log.Fields{
 			"member": m.Host, "data_centre": m.DataCentre, "state": m.State.String(), "incarnation": m.Incarnation,
--- a/internal/host/member_test.go
+++ b/internal/host/member_test.go
@@ -34,6 +34,7 @@
 			log:         &log.Logger{Handler: handler, Level: log.DebugLevel},
 			metrics:     telemetry.New(),
 			interrupted: make(chan struct{}),
+			claims:      newClaimPeers("h1", "a:0"),
 			executor:    traffic.NewExecutor(traffic.Config{}, clock.Start(), nil, nil, nil, nil),
 		}
 		p.noteMember(router.MemberNoted{Effect: one.effect})
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -54,6 +54,7 @@
 	peers    *peer.Transport
 	store    *countingStore
 	claimer  *claim.Claimer
+	claims   *claimPeers
 	engines  *engine.HTTPClient
 	services *service.HTTPClient
 	callers  *callers.Server
@@ -101,10 +102,8 @@
 	p.store = &countingStore{store: client, directory: client, metrics: p.metrics}
 	p.loop = NewLoop(core, p.clock, dispatch.DefaultConfig().TickInterval, p.execute)
 	p.source = source.New(p.store, func(e configuration.Event) { p.loop.Post(router.Configured{Event: e}) })
-	if dispatch.Policy(s.Policy) != dispatch.PolicyNaive {
-		if p.claimer, err = claim.New(claim.DefaultConfig(), p.store, l); err != nil {
-			return nil, errors.Wrap(err, "assemble the host")
-		}
+	if err := p.assembleClaims(); err != nil {
+		return nil, err
 	}
 	p.assembleTraffic()
 	return p, p.assemblePeers()
@@ -153,14 +152,33 @@
 	p.admin = admin.NewServer(p, p.metrics, p.journal)
 }
 
+// assembleClaims makes the claimer; the naive policy has none.
+func (p *Process) assembleClaims() error {
+	p.claims = newClaimPeers(p.settings.Host, p.settings.Peer)
+	if dispatch.Policy(p.settings.Policy) == dispatch.PolicyNaive {
+		return nil
+	}
+	cfg := claim.DefaultConfig()
+	cfg.Peers = p.claims
+	claimer, err := claim.New(cfg, p.store, p.log)
+	p.claimer = claimer
+	p.claims.claimer = claimer
+	return errors.Wrap(err, "assemble the claims")
+}
+
 func (p *Process) assemblePeers() error {
-	received := func(from string, m wire.Message) { p.loop.Post(router.PeerReceived{From: from, Message: m}) }
+	received := func(from string, m wire.Message) {
+		if !p.claims.receive(from, m) {
+			p.loop.Post(router.PeerReceived{From: from, Message: m})
+		}
+	}
 	dialer, err := p.settings.peerDialer()
 	if err != nil {
 		return err
 	}
 	transport, err := peer.New(peer.DefaultConfig(p.settings.Peer), dialer, received, p.log)
 	p.peers = transport
+	p.claims.sender = transport
 	return errors.Wrap(err, "assemble the transport between hosts")
 }
 
