--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -122,6 +123,10 @@
 	if !known || owner.finishing == w.Incarnation {
 		return false
 	}
+	if w.Attached {
+		// An owner that reads is alive, whatever membership believes.
+		return false
+	}
 	if owner.incarnation > w.Incarnation {
 		return true
 	}
@@ -132,7 +137,7 @@
 // that is over, or of an attempt given up. Work of an earlier incarnation is
 // left to the other hosts, which know whether that one is still finishing it.
 func (c *Core) ownOrphan(w HeldWork) bool {
-	if w.Incarnation != c.cfg.Incarnation {
+	if !slices.Contains(c.incarnations, w.Incarnation) {
 		return c.sharers() == 1
 	}
 	r := c.requests[w.ID]
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -32,6 +32,8 @@
 		p.configure(f.Effect)
 	case router.MemberNoted:
 		p.noteMember(f)
+	case router.Listed:
+		p.listed.Store(true)
 	case router.Probe:
 		p.watch(f.Targets)
 	}
@@ -115,6 +117,7 @@
 func (p *Process) noteMember(f router.MemberNoted) {
 	switch m := f.Effect.(type) {
 	case membership.MemberChanged:
+		p.claims.memberChanged(m.Host, m.Address, m.State)
 		p.metrics.Count("member_changes_total", 1, "state", m.State.String())
 		logevent.MemberChanged.Emit(p.log, log.Fields{
 			"member": m.Host, "data_centre": m.DataCentre, "state": m.State.String(), "incarnation": m.Incarnation,
@@ -128,6 +131,7 @@
 		}
 		event.Emit(p.log, log.Fields{"data_centre": m.DataCentre})
 	case membership.SelfIncarnation:
+		p.executor.SetIncarnation(m.Incarnation)
 		logevent.SelfRaised.Emit(p.log, log.Fields{"incarnation": m.Incarnation})
 	case membership.Superseded:
 		logevent.SelfSuperseded.Emit(p.log, log.Fields{"address": m.Address, "incarnation": m.Incarnation})
