--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -44,7 +44,9 @@
 // cancel sends a cancel and keeps it until it is confirmed.
 func (c *Core) cancel(now time.Duration, u *upstream, id string, attempt uint32) {
 	k := workKey{upstream: u.name, id: id, attempt: attempt}
-	if _, waiting := c.cancels.pending[k]; waiting {
+	if p, waiting := c.cancels.pending[k]; waiting {
+		// Seen again on the engine: the last one was lost.
+		p.next = min(p.next, now+c.cfg.CancelRetry)
 		return
 	}
 	c.cancels.pending[k] = &pendingCancel{
@@ -57,7 +59,7 @@
 }
 
 // answered removes a confirmed cancel; an unconfirmed one is repeated later.
-func (t *cancelTable) answered(now time.Duration, e Cancelled, cfg *Config) {
+func (t *cancelTable) answered(now time.Duration, e Cancelled) {
 	k := workKey{upstream: e.Upstream, id: e.ID, attempt: e.Attempt}
 	p := t.pending[k]
 	if p == nil {
@@ -67,7 +69,6 @@
 		delete(t.pending, k)
 		return
 	}
-	p.delay = min(2*p.delay, cfg.CancelRetryMax)
 	p.next = now + p.delay
 }
 
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -94,6 +94,9 @@
 	// CancelLimit is how long a cancel is repeated before it is left to the
 	// sweep of the engine's work list.
 	CancelLimit time.Duration
+	// DrainCancels is how long a stopping host without requests waits for its
+	// cancels to be confirmed.
+	DrainCancels time.Duration
 	// OverdueGrace is how long past its deadline any host leaves foreign work
 	// alone; it covers the difference between the hosts' clocks.
 	OverdueGrace time.Duration
@@ -105,7 +108,7 @@
 	FairBurst time.Duration
 	// MaxQueue bounds the requests waiting at this host.
 	MaxQueue int
-	// MaxPrefixes bounds the cached prefixes remembered per engine.
+	// MaxPrefixes bounds the cached prefixes remembered over all engines.
 	MaxPrefixes int
 
 	// PrefillRate (tokens a second), DecodeStep (time a token) and
@@ -142,11 +145,12 @@
 		CancelRetry:       100 * time.Millisecond,
 		CancelRetryMax:    2 * time.Second,
 		CancelLimit:       30 * time.Second,
+		DrainCancels:      2 * time.Second,
 		OverdueGrace:      2 * time.Second,
 		ReportTimeout:     3 * time.Second,
 		FairBurst:         2 * time.Second,
 		MaxQueue:          20_000,
-		MaxPrefixes:       4096,
+		MaxPrefixes:       100_000,
 		PrefillRate:       90_000,
 		DecodeStep:        40 * time.Millisecond,
 		EngineMemory:      400_000,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,7 +41,9 @@
 	dirty    bool
 	draining bool
 	drained  bool
-	lastTick time.Duration
+	// idleSince is when a stopping host's last request ended.
+	idleSince time.Duration
+	lastTick  time.Duration
 	// lastPass is when the queue was walked last.
 	lastPass time.Duration
 }
@@ -75,7 +77,7 @@
 		c.lastPass = now
 		c.reschedule(now)
 	}
-	c.checkDrained()
+	c.checkDrained(now)
 	return c.effects
 }
 
@@ -97,7 +99,7 @@
 	case CallerGone:
 		c.callerGone(now, e)
 	case Cancelled:
-		c.cancels.answered(now, e, &c.cfg)
+		c.cancels.answered(now, e)
 	case Tick:
 		c.tick(now)
 	case Shutdown:
@@ -180,11 +182,16 @@
 	}
 }
 
-func (c *Core) checkDrained() {
-	if !c.draining || c.drained {
+// checkDrained ends a stopping host once its requests are over. Cancels that
+// an engine does not confirm are left to the sweeps of the other hosts.
+func (c *Core) checkDrained(now time.Duration) {
+	if !c.draining || c.drained || len(c.requests) > 0 {
 		return
 	}
-	if len(c.requests) > 0 || c.cancels.len() > 0 {
+	if c.idleSince == 0 {
+		c.idleSince = now
+	}
+	if c.cancels.len() > 0 && now < c.idleSince+c.cfg.DrainCancels {
 		return
 	}
 	c.drained = true
--- a/internal/dispatch/prefix.go
+++ b/internal/dispatch/prefix.go
@@ -101,7 +101,7 @@
 		if change.Sequence > u.prefixes.next {
 			u.prefixes.gap(change.Sequence)
 		}
-		u.prefixes.apply(change, c.cfg.MaxPrefixes)
+		u.prefixes.apply(change, c.prefixBound())
 	}
 	if e.Next < u.prefixes.next {
 		// The engine started over: its cache is empty.
@@ -122,6 +122,11 @@
 		return
 	}
 	for _, prefix := range r.Prefixes {
-		r.group[0].prefixes.note(prefix, true, c.cfg.MaxPrefixes)
+		r.group[0].prefixes.note(prefix, true, c.prefixBound())
 	}
 }
+
+// prefixBound is the number of prefixes remembered for each engine.
+func (c *Core) prefixBound() int {
+	return c.cfg.MaxPrefixes / max(1, len(c.engines))
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -152,6 +152,9 @@
 			for i := range 6 {
 				w.report(fmt.Sprintf("engine-%d", i))
 			}
+			for i := range 2 {
+				w.step(LoadReported{Name: fmt.Sprintf("orders-%d", i), Sent: w.now})
+			}
 		}
 		if w.now%time.Second == 0 {
 			for i := range 6 {
--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -87,8 +87,8 @@
 		metrics:     telemetry.New(),
 		drained:     make(chan struct{}),
 		interrupted: make(chan struct{}),
-		engines:     engine.NewHTTPClient(httpcall.Config{}),
-		services:    service.NewHTTPClient(httpcall.Config{}),
+		engines:     engine.NewHTTPClient(httpcall.DefaultConfig()),
+		services:    service.NewHTTPClient(httpcall.DefaultConfig()),
 	}
 	p.hosts.Store(1)
 	core, err := router.New(p.coreConfig())
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -46,9 +46,9 @@
 // DefaultConfig returns intervals for some dozen engines a host.
 func DefaultConfig() Config {
 	return Config{
-		LoadInterval:  250 * time.Millisecond,
+		LoadInterval:  400 * time.Millisecond,
 		FarInterval:   time.Second,
-		CacheInterval: 500 * time.Millisecond,
+		CacheInterval: time.Second,
 		SweepInterval: time.Second,
 		Timeout:       time.Second,
 	}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -33,15 +33,17 @@
 	c.sendAddress(near[c.listingAsked%len(near)].Address, topicListingRequest, struct{}{})
 }
 
-// answerListing sends what this host knows; addresses are the same for all
-// hosts of a data centre.
+// answerListing sends the upstreams of this data centre, whose addresses are
+// the same for all its hosts.
 func (c *Core) answerListing(to string) {
 	if !c.listed {
 		return
 	}
 	hosts := make([]platform.Host, 0, len(c.upstreams))
 	for _, name := range sortedNames(c.upstreams) {
-		hosts = append(hosts, c.upstreams[name])
+		if h := c.upstreams[name]; h.DataCentre == c.cfg.Dispatch.DataCentre {
+			hosts = append(hosts, h)
+		}
 	}
 	c.sendAddress(to, topicListing, hosts)
 }
