Watch two upstreams of each other data centre; look at report ages ten times a timeout

Ruled out: no probes there at all, since a data centre without engines of its own has to find some at once. Test: TestFarUpstreamsAreWatchedByFew.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -103,6 +103,9 @@
 	// ReportTimeout is the age from which an engine's report is no longer
 	// believed and the engine counts as suspect.
 	ReportTimeout time.Duration
+	// FarReportTimeout takes its place for engines of other data centres,
+	// which are asked less often.
+	FarReportTimeout time.Duration
 	// FairBurst is how much service, in engine time, an organisation may take
 	// ahead of its share before its requests are ordered behind others.
 	FairBurst time.Duration
@@ -148,6 +151,7 @@
 		DrainCancels:      2 * time.Second,
 		OverdueGrace:      2 * time.Second,
 		ReportTimeout:     3 * time.Second,
+		FarReportTimeout:  10 * time.Second,
 		FairBurst:         2 * time.Second,
 		MaxQueue:          20_000,
 		MaxPrefixes:       100_000,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -44,6 +44,8 @@
 	// idleSince is when a stopping host's last request ended.
 	idleSince time.Duration
 	lastTick  time.Duration
+	// nextSuspect is when the age of reports is looked at next.
+	nextSuspect time.Duration
 	// lastPass is when the queue was walked last.
 	lastPass time.Duration
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -313,14 +313,25 @@
 
 // suspectSilent stops believing engines whose reports have ceased.
 func (c *Core) suspectSilent(now time.Duration) {
+	if now < c.nextSuspect {
+		return
+	}
+	c.nextSuspect = now + c.cfg.ReportTimeout/suspectChecks
 	for _, u := range c.engines {
-		if u.reported && u.failures < suspectAfter && now-u.report.Sent > c.cfg.ReportTimeout {
+		timeout := c.cfg.ReportTimeout
+		if u.dataCentre != c.cfg.DataCentre {
+			timeout = c.cfg.FarReportTimeout
+		}
+		if u.reported && u.failures < suspectAfter && now-u.report.Sent > timeout {
 			u.failures = suspectAfter
 			c.upstreamsChanged()
 		}
 	}
 }
 
+// suspectChecks is how often the age of reports is looked at within their timeout.
+const suspectChecks = 10
+
 // peerHost is what is known of another host of the data centre.
 type peerHost struct {
 	incarnation uint64
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -47,7 +47,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LoadInterval:  400 * time.Millisecond,
-		FarInterval:   time.Second,
+		FarInterval:   2 * time.Second,
 		CacheInterval: time.Second,
 		SweepInterval: time.Second,
 		Timeout:       time.Second,
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -197,6 +197,35 @@
 	}
 }
 
+// TestFarUpstreamsAreWatchedByFew: of another data centre's engines a host
+// watches two, and different hosts not all the same ones.
+func TestFarUpstreamsAreWatchedByFew(t *testing.T) {
+	var list []platform.Host
+	for i := range 40 {
+		list = append(list, platform.Host{Name: fmt.Sprintf("far-%d", i), DataCentre: "b", Role: "engine"})
+	}
+	list = append(list, platform.Host{Name: "near", DataCentre: "a", Role: "engine"})
+	watched := make(map[string]bool)
+	for i := range 10 {
+		n := newNode(t, fmt.Sprintf("h%d", i), 1)
+		for _, f := range n.core.Step(0, HostsListed{Hosts: list}) {
+			probe, ok := f.(Probe)
+			if !ok {
+				continue
+			}
+			if len(probe.Targets) != 1+farTargets {
+				t.Fatalf("host %d watches %+v", i, probe.Targets)
+			}
+			for _, target := range probe.Targets {
+				watched[target.Name] = true
+			}
+		}
+	}
+	if len(watched) < 8 {
+		t.Errorf("ten hosts watch only %d upstreams together", len(watched))
+	}
+}
+
 // TestRecordedLogReplays feeds a host's recorded events to a fresh core and
 // compares the effects byte for byte.
 func TestRecordedLogReplays(t *testing.T) {
--- a/internal/router/hosts.go
+++ b/internal/router/hosts.go
@@ -1,9 +1,13 @@
 package router
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/membership"
 	"github.com/chestnutline/chestnutline/internal/platform"
@@ -80,22 +84,53 @@
 	return h.Service
 }
 
-// targets are the upstreams to watch: those of this data centre, and the
-// others, which take over when none is left here.
+// targets are the upstreams to watch: all of this data centre, and of every
+// other one farTargets of each kind, which take over when none is left here.
+// Hosts choose different ones, by the weight of the pair of names.
 func (c *Core) targets() []Target {
 	targets := make([]Target, 0, len(c.upstreams))
+	far := make(map[farKind][]platform.Host)
 	for _, name := range sortedNames(c.upstreams) {
 		h := c.upstreams[name]
-		targets = append(targets, Target{
-			Name:    h.Name,
-			Address: h.Address,
-			Service: serviceOf(h),
-			Far:     h.DataCentre != c.cfg.Dispatch.DataCentre,
-		})
+		if h.DataCentre == c.cfg.Dispatch.DataCentre {
+			targets = append(targets, Target{Name: h.Name, Address: h.Address, Service: serviceOf(h)})
+			continue
+		}
+		kind := farKind{dataCentre: h.DataCentre, service: serviceOf(h)}
+		far[kind] = append(far[kind], h)
+	}
+	for _, h := range c.chooseFar(far) {
+		targets = append(targets, Target{Name: h.Name, Address: h.Address, Service: serviceOf(h), Far: true})
 	}
 	return targets
 }
 
+// farTargets is the number of upstreams of each kind watched in another data centre.
+const farTargets = 2
+
+// farKind is a kind of upstream in another data centre; service is empty for engines.
+type farKind struct {
+	dataCentre string
+	service    string
+}
+
+// chooseFar picks the upstreams of the greatest weight of each kind, ordered by name.
+func (c *Core) chooseFar(far map[farKind][]platform.Host) []platform.Host {
+	var chosen []platform.Host
+	for _, list := range far {
+		slices.SortFunc(list, func(a, b platform.Host) int {
+			return cmp.Compare(c.weight(b.Name), c.weight(a.Name))
+		})
+		chosen = append(chosen, list[:min(farTargets, len(list))]...)
+	}
+	slices.SortFunc(chosen, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return chosen
+}
+
+func (c *Core) weight(upstream string) uint64 {
+	return xxhash.Sum64String(c.cfg.Dispatch.Host + "\x00" + upstream)
+}
+
 func sortedNames(l listing) []string {
 	names := make([]string, 0, len(l))
 	for name := range l {
