Order kinds by the priority that operators declare; one main for the daemons

Change: the base of the virtual deadline grows with the priority number; package daemon; settings.CheckAddress and CheckURL. Test: TestKindsGoByTheirPriority.

--- a/cmd/chestnut-controller/main.go
+++ b/cmd/chestnut-controller/main.go
@@ -6,42 +6,23 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/apex/log"
 	"github.com/oklog/run"
 
 	"github.com/chestnutline/chestnutline/internal/controller/process"
-	"github.com/chestnutline/chestnutline/internal/logevent"
-	"github.com/chestnutline/chestnutline/internal/settings"
+	"github.com/chestnutline/chestnutline/internal/daemon"
 )
 
-const name = "chestnut-controller"
-
 func main() {
 	var s process.Settings
-	settings.MustParse(settings.NewParser(name, "gives the engines of a data centre their orders, while it holds the lease", settings.Version), &s)
-	logger, err := settings.Logger(os.Stderr, s.LogLevel)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: --log-level: %v\n", name, err)
-		os.Exit(settings.ExitUsage)
-	}
-	if err := serve(s, logger); err != nil {
-		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
-		os.Exit(settings.ExitFailed)
-	}
-	logevent.ProcessStopped.Emit(logger, log.Fields{"host": s.Host})
-}
-
-func serve(s process.Settings, logger log.Interface) error {
-	p, err := process.New(s, logger)
-	if err != nil {
-		return err
-	}
-	var g run.Group
-	if err := p.AddTo(&g); err != nil {
-		return err
-	}
-	return g.Run()
+	description := "gives the engines of a data centre their orders, while it holds the lease"
+	os.Exit(daemon.Main("chestnut-controller", description, &s, func(l log.Interface, g *run.Group) error {
+		p, err := process.New(s, l)
+		if err != nil {
+			return err
+		}
+		return p.AddTo(g)
+	}))
 }
--- a/cmd/chestnut-router/main.go
+++ b/cmd/chestnut-router/main.go
@@ -1,43 +1,27 @@
 // Command chestnut-router is the entry host's process: callers come in here.
+//
+// Exit codes: 0 after a graceful stop, 1 when running failed or the drain limit
+// passed, 2 for bad flags, variables or arguments.
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/apex/log"
 	"github.com/oklog/run"
 
+	"github.com/chestnutline/chestnutline/internal/daemon"
 	"github.com/chestnutline/chestnutline/internal/host"
-	"github.com/chestnutline/chestnutline/internal/logevent"
-	"github.com/chestnutline/chestnutline/internal/settings"
 )
 
-const name = "chestnut-router"
-
 func main() {
 	var s host.Settings
-	settings.MustParse(settings.NewParser(name, "takes callers' requests and routes them to engines and services", settings.Version), &s)
-	logger, err := settings.Logger(os.Stderr, s.LogLevel)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: --log-level: %v\n", name, err)
-		os.Exit(settings.ExitUsage)
-	}
-	if err := serve(s, logger); err != nil {
-		logevent.ProcessFailed.Emit(logger, log.Fields{"error": err.Error()})
-		os.Exit(settings.ExitFailed)
-	}
-	logevent.ProcessStopped.Emit(logger, log.Fields{"host": s.Host})
-}
-
-func serve(s host.Settings, logger log.Interface) error {
-	p, err := host.New(s, logger)
-	if err != nil {
-		return err
-	}
-	var g run.Group
-	if err := p.AddTo(&g); err != nil {
-		return err
-	}
-	return g.Run()
+	description := "takes callers' requests and routes them to engines and services"
+	os.Exit(daemon.Main("chestnut-router", description, &s, func(l log.Interface, g *run.Group) error {
+		p, err := host.New(s, l)
+		if err != nil {
+			return err
+		}
+		return p.AddTo(g)
+	}))
 }
--- a/internal/controller/process/settings.go
+++ b/internal/controller/process/settings.go
@@ -1,12 +1,11 @@
 package process
 
 import (
-	"net/netip"
-	"net/url"
 	"time"
 
 	"github.com/chestnutline/chestnutline/internal/controller"
 	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/settings"
 )
 
 // Settings of a controller process.
@@ -39,6 +38,9 @@
 	"RollingShare": "--rolling-share", "StartSpread": "--start-spread", "OrderTimeout": "--order-timeout",
 }
 
+// Level implements daemon.Settings.
+func (s *Settings) Level() string { return s.LogLevel }
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() finding.List {
 	var l finding.List
@@ -48,13 +50,8 @@
 		}
 		l = append(l, f)
 	}
-	if _, err := netip.ParseAddrPort(s.Admin); err != nil {
-		l.Add("--admin", "must be ip:port: "+err.Error())
-	}
-	u, err := url.Parse(s.Platform)
-	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
-		l.Add("--platform", "must be a URL such as http://10.0.0.1:7000, not \""+s.Platform+"\"")
-	}
+	settings.CheckAddress(&l, "--admin", s.Admin)
+	settings.CheckURL(&l, "--platform", s.Platform)
 	if s.StopLimit <= 0 {
 		l.Add("--stop-limit", "must be above 0")
 	}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -137,12 +137,14 @@
 // minShare is the least weight of an organisation.
 const minShare = 0.01
 
-// virtualDeadline orders requests: a base plus a multiple of the request's own
-// prefill time after its arrival, later where the organisation is ahead of its
+// virtualDeadline orders requests: a base, which grows with the priority number
+// of the kind, plus a multiple of the request's own prefill time after its
+// arrival, later where the organisation is ahead of its
 // share. Waiting ages a request since the key is fixed while time goes on.
 func (c *Core) virtualDeadline(now time.Duration, r *request, o *organisation) time.Duration {
 	stretch := time.Duration(c.cfg.TargetStretch * float64(r.cost.prefill))
-	target := c.cfg.TargetBase + stretch
+	base := c.cfg.TargetBase * time.Duration(1+max(0, r.KindPriority))
+	target := base + stretch
 	latest := r.Deadline - r.cost.decode - r.cost.prefill - now
 	target = max(0, min(target, latest))
 	ahead := max(0, o.virtual-now-c.cfg.FairBurst)
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -211,3 +211,20 @@
 		}
 	}
 }
+
+// TestKindsGoByTheirPriority: of two like requests the one of the kind with the
+// lower priority number goes first, and waiting outweighs the difference.
+func TestKindsGoByTheirPriority(t *testing.T) {
+	c := loneCore(t, 2)
+	key := func(now time.Duration, priority int) time.Duration {
+		r := &request{Arrived: promptOf("x", "o", 1_000, time.Minute)}
+		r.KindPriority = priority
+		return c.virtualDeadline(now, r, c.organisation("o"))
+	}
+	if key(0, 0) >= key(0, 2) {
+		t.Error("priority 2 goes before priority 0")
+	}
+	if key(5*time.Second, 0) <= key(0, 2) {
+		t.Error("priority 2 does not age")
+	}
+}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -3,13 +3,13 @@
 import (
 	"net"
 	"net/netip"
-	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/chestnutline/chestnutline/internal/dispatch"
 	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/settings"
 )
 
 // Settings of a router process.
@@ -30,6 +30,9 @@
 	LogLevel       string        `env:"CHESTNUT_LOG_LEVEL" flag:"log-level" default:"info" help:"least level logged: debug, info, warn or error"`
 }
 
+// Level implements daemon.Settings.
+func (s *Settings) Level() string { return s.LogLevel }
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() finding.List {
 	var l finding.List
@@ -39,11 +42,11 @@
 	if s.DataCentre == "" {
 		l.Add("--data-centre", "is missing; name the data centre")
 	}
-	checkAddress(&l, "--listen", s.Listen)
-	checkAddress(&l, "--admin", s.Admin)
-	checkAddress(&l, "--peer", s.Peer)
-	checkAddress(&l, "--peer-bind", s.peerBind())
-	checkURL(&l, "--platform", s.Platform)
+	settings.CheckAddress(&l, "--listen", s.Listen)
+	settings.CheckAddress(&l, "--admin", s.Admin)
+	settings.CheckAddress(&l, "--peer", s.Peer)
+	settings.CheckAddress(&l, "--peer-bind", s.peerBind())
+	settings.CheckURL(&l, "--platform", s.Platform)
 	if p := dispatch.Policy(s.Policy); p != dispatch.PolicyDefault && p != dispatch.PolicyNaive {
 		l.Add("--policy", "must be default or naive, not "+s.Policy)
 	}
@@ -82,16 +85,3 @@
 
 // minListInterval keeps the hosts within the platform's read rate.
 const minListInterval = 100 * time.Millisecond
-
-func checkAddress(l *finding.List, place, address string) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		l.Add(place, "must be ip:port: "+err.Error())
-	}
-}
-
-func checkURL(l *finding.List, place, text string) {
-	u, err := url.Parse(text)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		l.Add(place, "must be a URL such as http://10.0.0.1:7000, not \""+text+"\"")
-	}
-}
