--- a/internal/host/process.go
+++ b/internal/host/process.go
@@ -204,13 +204,27 @@
 	return st, nil
 }
 
+// processDump is a snapshot of the whole process.
+type processDump struct {
+	router.Dump
+	// ClaimsWaiting counts claims and outcomes that the store does not have yet.
+	ClaimsWaiting int           `json:"claims_waiting"`
+	Peers         []peer.Status `json:"peers"`
+	PeerTraffic   peer.Counts   `json:"peer_traffic"`
+}
+
 // Dump implements admin.Source.
 func (p *Process) Dump(ctx context.Context) (any, error) {
-	var d router.Dump
-	ok := p.loop.Inspect(ctx, func(c *router.Core) { d = c.Dump(p.clock.Now(), dumpLimit) })
+	var d processDump
+	ok := p.loop.Inspect(ctx, func(c *router.Core) { d.Dump = c.Dump(p.clock.Now(), dumpLimit) })
 	if !ok {
 		return nil, errors.New("read the dump: the control thread did not answer")
 	}
+	if p.claimer != nil {
+		d.ClaimsWaiting = p.claimer.Waiting()
+	}
+	d.Peers = p.peers.Peers()
+	d.PeerTraffic = p.peers.Counts()
 	return d, nil
 }
 
