Run on the users' platform: adapter, decision core and gateway

Cause: the users fixed how consumers, servers, operators and machines speak; the router speaks an interface of its own and needs the platform's list.

Change: platform/ decodes settings, store, configuration, registrations and headers; internal/route holds declared routing; internal/balance decides by predicted lateness; internal/gateway carries out; chestnut-gateway runs it. Log lines of all daemons go to standard output, bounded and without blocking.

--- a/Makefile
+++ b/Makefile
@@ -16,4 +16,4 @@
 	bash .ci/run
 
 fmt:
-	go tool gofumpt -w cmd internal intent
+	go tool gofumpt -w cmd internal intent platform
--- a/internal/archtest/decision_test.go
+++ b/internal/archtest/decision_test.go
@@ -12,6 +12,8 @@
 // decisionPackages hold reducers: no input or output, clock, goroutine, lock
 // or shared randomness. Those that are not there yet are checked once they are.
 var decisionPackages = []string{
+	"internal/balance",
+	"internal/route",
 	"internal/dispatch",
 	"internal/router",
 	"internal/membership",
@@ -23,7 +25,7 @@
 }
 
 // presentPackages of those above must exist, so that a move is noticed.
-const presentPackages = 5
+const presentPackages = 7
 
 // allowedTime are the names of package time that need no clock.
 var allowedTime = []string{"Duration", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute", "Hour"}
--- /dev/null
+++ b/internal/balance/config.go
@@ -0,0 +1,149 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/finding"
+)
+
+// Config sets the trade-offs of a Core.
+type Config struct {
+	// Host and DataCentre are this host's own.
+	Host       string
+	DataCentre string
+	// RetryRatio, RetryWindow and RetrySlack bound repeated sends over all
+	// hosts, per service: in any window, ratio x requests + slack.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  int
+	// Hold is the lease of reserved memory. Longer survives lost renewals,
+	// shorter returns the memory of a host that died.
+	Hold time.Duration
+	// Policy chooses between the placement that predicts and the plain one
+	// that it is measured against.
+	Policy Policy
+}
+
+// Policy names a way of placing.
+type Policy string
+
+// Policies.
+const (
+	// Predict places by predicted pauses and first events.
+	Predict Policy = "predict"
+	// Plain takes the upstream with the fewest requests of this host.
+	Plain Policy = "plain"
+)
+
+// Validate returns every problem of the configuration.
+func (c Config) Validate() finding.List {
+	var findings finding.List
+	if c.Host == "" {
+		findings.Add("Host", "must not be empty")
+	}
+	if c.RetryWindow <= 0 {
+		findings.Add("RetryWindow", "must be above 0")
+	}
+	if c.Hold <= 0 {
+		findings.Add("Hold", "must be above 0")
+	}
+	if c.Policy != Predict && c.Policy != Plain {
+		findings.Add("Policy", "must be predict or plain")
+	}
+	return findings
+}
+
+// Placement.
+const (
+	// longRead is the reading time above which a prompt counts as long and is
+	// placed away from the short ones: about two passes of an engine.
+	longRead = 120 * time.Millisecond
+	// comfort is the part of an objective up to which a prediction costs
+	// nothing; the rest is room for what arrives before it comes true.
+	comfort = 0.55
+	// lateLoss is the part of an answer's worth that is lost by being late.
+	lateLoss = 0.75
+	// abandonAt is the multiple of an objective at which callers leave.
+	abandonAt = 8.0
+	// tokensPerWeight is the prompt length that weighs as much as a request.
+	tokensPerWeight = 10000.0
+	// laneCost is the cost of the far end of the upstreams' order, which keeps
+	// short and long prompts at different ends of it.
+	laneCost = 0.08
+	// remoteCost is the cost of an upstream in another data centre.
+	remoteCost = 0.02
+	// memberCost is the cost of each further server that a prompt depends on.
+	memberCost = 0.004
+	// failureCost multiplies the share of failures seen at an upstream.
+	failureCost = 2.0
+	// crowdedAt is the share of slots above which a server costs more, since
+	// other hosts may be placing there at the same moment.
+	crowdedAt = 0.75
+	// memoryShare is the part of a server's memory that is planned for; the
+	// rest covers rounding to blocks and answers longer than announced.
+	memoryShare = 0.96
+	// maxMembers is how many further servers may share the reading.
+	maxMembers = 15
+)
+
+// Attempts.
+const (
+	// firstPieceSlack and firstPieceFactor bound the wait for a stream's first
+	// event beyond its prediction, before another upstream is tried.
+	firstPieceSlack  = 900 * time.Millisecond
+	firstPieceFactor = 3
+	// pieceSlack bounds a pause within a stream; engines that depend on a lost
+	// one stall for about 1.5 s, and callers leave after 2 s.
+	pieceSlack = 1300 * time.Millisecond
+	// connectPart is the part of the time left that may go into connecting.
+	connectPart = 4
+	// maxConnect bounds connecting: one round trip and its variation between
+	// data centres of a region, far below the first repeat of a lost packet.
+	maxConnect = 350 * time.Millisecond
+	// minLeft is the time left under which nothing is sent any more.
+	minLeft = 20 * time.Millisecond
+	// safeAnswerFactor times the route's target is how long an answer to a
+	// safe request may take before it is asked elsewhere.
+	safeAnswerFactor = 1
+)
+
+// Queue.
+const (
+	// maxWait bounds the time in the host's queue.
+	maxWait = 2 * time.Second
+	// maxQueue bounds the requests waiting in a host.
+	maxQueue = 256
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+	// emptyRetryAfter is told while a service has no upstream; one comes back
+	// within about two seconds of a store outage.
+	emptyRetryAfter = time.Second
+	// groupBackoff is the pause after a group did not get its memory.
+	groupBackoff = 60 * time.Millisecond
+)
+
+// Health of upstreams.
+const (
+	// healthHalfLife halves the weight of what was seen of an upstream.
+	healthHalfLife = 4 * time.Second
+	// firstBackoff and maxBackoff bound how long an upstream that could not be
+	// connected to is passed over; it doubles with each failure.
+	firstBackoff = 500 * time.Millisecond
+	maxBackoff   = 4 * time.Second
+	// fullBackoff passes over an upstream that refused for lack of room.
+	fullBackoff = 80 * time.Millisecond
+	// movedBackoff passes over an address at which another server answered,
+	// until the registrations catch up.
+	movedBackoff = 5 * time.Second
+	// priorSeen and priorFailed are the requests assumed before any was seen.
+	priorSeen   = 4.0
+	priorFailed = 0.1
+)
+
+// Work of other hosts.
+const (
+	// expirySlack is how long after its deadline work of another host is kept
+	// if nothing more is heard of it.
+	expirySlack = time.Second
+)
--- /dev/null
+++ b/internal/balance/group.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"fmt"
+	"time"
+)
+
+// reserve asks all members of a plan for their part of the memory at once. No
+// group waits for memory while it holds some, so none waits for another.
+func (c *Core) reserve(r *request, p *plan, now time.Duration) {
+	r.renewed = now
+	r.missing = len(p.members)
+	for _, u := range p.members {
+		m := Member{
+			Upstream: u.ID, Address: u.Address, Tokens: p.reserved,
+			Ticket: fmt.Sprintf("%s-%x-%d-%d", c.config.Host, c.boot, r.Number, r.attempt),
+		}
+		r.tickets = append(r.tickets, m)
+		c.emit(Reserve{Number: r.Number, Attempt: r.attempt, Member: m, Hold: c.config.Hold})
+	}
+}
+
+// reserved sends the request once all members have set the memory aside, and
+// gives all back when one has not.
+func (c *Core) reserved(e Reserved, now time.Duration) {
+	r := c.current(e.Number, e.Attempt)
+	if r == nil || r.sent || r.planned == nil {
+		return
+	}
+	if e.OK {
+		r.missing--
+		if r.missing == 0 {
+			c.send(r, r.planned, now)
+		}
+		return
+	}
+	if u := c.upstreams[e.Upstream]; u != nil {
+		u.avoidUntil = max(u.avoidUntil, now+fullBackoff)
+	}
+	c.endAttempt(r, Full, now)
+	r.notBefore = now + groupBackoff + time.Duration(c.random.Int64N(int64(groupBackoff)))
+	c.enqueue(r, now)
+}
+
+// renewals is how many times a reservation is renewed within its lease.
+const renewals = 3
+
+// renew extends the leases of the memory in use.
+func (c *Core) renew(now time.Duration) {
+	for _, r := range c.requests {
+		if len(r.tickets) == 0 || !r.sent || now-r.renewed < c.config.Hold/renewals {
+			continue
+		}
+		r.renewed = now
+		for _, m := range r.tickets {
+			c.emit(Reserve{Number: r.Number, Attempt: r.attempt, Member: m, Hold: c.config.Hold, Renewal: true})
+		}
+	}
+}
--- /dev/null
+++ b/internal/balance/place.go
@@ -0,0 +1,230 @@
+package balance
+
+import (
+	"sort"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/route"
+)
+
+// plan is a choice of upstreams for one request.
+type plan struct {
+	// members are the upstream asked, then those that help it.
+	members []*upstream
+	// part is each member's reading time.
+	part time.Duration
+	// reserved is the memory to set aside on each member; 0 for none.
+	reserved  int
+	predicted time.Duration
+	cost      float64
+}
+
+// option is one upstream as a member of a plan under consideration.
+type option struct {
+	u *upstream
+	l load
+	// first is the expected time to the end of its reading, and of the pass
+	// in which the first event is written.
+	first time.Duration
+	cost  float64
+}
+
+// candidates are the upstreams that may get a request. Those that it was sent
+// to before come only if there are no others.
+func (c *Core) candidates(r *request, now time.Duration) []*upstream {
+	g := c.groups[r.Service]
+	if g == nil {
+		return nil
+	}
+	var fresh, again []*upstream
+	for _, u := range g.upstreams {
+		switch {
+		case !u.usable(now):
+		case r.tried[u.ID]:
+			again = append(again, u)
+		default:
+			fresh = append(fresh, u)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return again
+}
+
+// place chooses upstreams for a request; nil when there is no room now.
+func (c *Core) place(r *request, now time.Duration) *plan {
+	candidates := c.candidates(r, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if c.config.Policy == Plain {
+		return c.placePlain(r, candidates)
+	}
+	e := candidates[0].engine
+	if e == nil || r.PromptTokens == 0 {
+		return c.placeCall(r, candidates, now)
+	}
+	if p := c.placePrompt(r, e, candidates, false, now); p != nil {
+		return p
+	}
+	return c.placePrompt(r, e, candidates, true, now)
+}
+
+// placePlain is the policy that others are measured against.
+func (c *Core) placePlain(r *request, candidates []*upstream) *plan {
+	best := candidates[c.random.IntN(len(candidates))]
+	for _, u := range candidates {
+		if len(u.works) < len(best.works) {
+			best = u
+		}
+	}
+	return &plan{members: []*upstream{best}}
+}
+
+// placeCall chooses a plain service's upstream: near, free of failures, and
+// with the fewest requests for its slots.
+func (c *Core) placeCall(_ *request, candidates []*upstream, now time.Duration) *plan {
+	var best *plan
+	for _, u := range candidates {
+		cost := float64(len(u.works))/float64(max(1, u.Slots)) + failureCost*u.failureShare(now)
+		if u.DataCentre != c.config.DataCentre {
+			cost += callRemoteCost
+		}
+		if best == nil || cost < best.cost {
+			best = &plan{members: []*upstream{u}, cost: cost}
+		}
+	}
+	return best
+}
+
+// callRemoteCost is the cost of a plain service's upstream in another data
+// centre, in shares of its slots: its round trip is of the order of a call.
+const callRemoteCost = 0.5
+
+// placePrompt chooses how many servers share a prompt and which. With reserve,
+// its memory is spread evenly over them; otherwise the first one holds it all.
+func (c *Core) placePrompt(r *request, e *route.Engine, candidates []*upstream, reserve bool, now time.Duration) *plan {
+	var best *plan
+	for _, parts := range c.partsToTry(r, e, len(candidates)) {
+		if p := c.planOf(r, e, candidates, parts, reserve, now); p != nil && (best == nil || p.cost < best.cost) {
+			best = p
+		}
+	}
+	return best
+}
+
+// partSteps are the numbers of servers tried for a long prompt.
+var partSteps = []int{1, 2, 3, 4, 6, 8, 11, 16}
+
+func (c *Core) partsToTry(r *request, e *route.Engine, most int) []int {
+	if readTime(e, r.PromptTokens, 1) < longRead {
+		return partSteps[:1]
+	}
+	n := sort.SearchInts(partSteps, min(most, maxMembers+1)+1)
+	return partSteps[:n]
+}
+
+// planOf weighs one number of parts; nil when it does not fit.
+func (c *Core) planOf(r *request, e *route.Engine, candidates []*upstream, parts int, reserve bool, now time.Duration) *plan {
+	if reserve && parts == 1 {
+		return nil
+	}
+	part := readTime(e, r.PromptTokens, parts)
+	need := r.PromptTokens + r.AnswerTokens
+	reserved := 0
+	if reserve {
+		reserved = need/parts + 1
+	}
+	var options []option
+	for _, u := range candidates {
+		o := c.optionOf(r, e, u, part, parts, now)
+		if reserved > 0 && !hasMemory(e, o.l, reserved) {
+			continue
+		}
+		options = append(options, o)
+	}
+	if len(options) < parts {
+		return nil
+	}
+	sort.SliceStable(options, func(i, j int) bool { return options[i].cost < options[j].cost })
+	lead := -1
+	for i, o := range options {
+		if o.l.leading < slots(o.u, e) && (reserved > 0 || hasMemory(e, o.l, need)) {
+			lead = i
+			break
+		}
+	}
+	if lead < 0 {
+		return nil
+	}
+	return c.join(r, e, options, lead, parts, part, reserved, now)
+}
+
+// join makes a plan of the leading option and the cheapest others.
+func (c *Core) join(r *request, e *route.Engine, options []option, lead, parts int, part time.Duration, reserved int, now time.Duration) *plan {
+	p := &plan{part: part, reserved: reserved}
+	first := time.Duration(0)
+	take := func(o option) {
+		p.members = append(p.members, o.u)
+		p.cost += o.cost
+		first = max(first, o.first)
+	}
+	take(options[lead])
+	for i, o := range options {
+		if len(p.members) == parts {
+			break
+		}
+		if i != lead {
+			take(o)
+		}
+	}
+	leader := options[lead]
+	after := leader.u.pause(e, now, part, 1, r.PromptTokens)
+	ownPause := passTime(e, leader.l.leading+1, leader.l.context+r.PromptTokens)
+	p.predicted = first
+	p.cost += r.weight * lateness(now-r.arrived+first, r.Route.Target)
+	p.cost += r.weight * lateness(ownPause, r.Route.PieceGap)
+	p.cost += r.weight * memberCost * float64(parts-1)
+	if crowd := float64(leader.l.leading+1) / float64(slots(leader.u, e)); crowd > crowdedAt {
+		p.cost += r.weight * lateness(after, r.Route.PieceGap)
+		p.cost += crowd - crowdedAt
+	}
+	return p
+}
+
+// optionOf weighs one upstream as the reader of one part.
+func (c *Core) optionOf(r *request, e *route.Engine, u *upstream, part time.Duration, parts int, now time.Duration) option {
+	o := option{u: u, l: u.load()}
+	before := u.pause(e, now, 0, 0, 0)
+	after := u.pause(e, now, part, 1, r.PromptTokens/parts)
+	pass := passTime(e, o.l.leading+1, o.l.context)
+	o.first = u.backlog(now) + part + pass
+	if o.l.leading > 0 {
+		o.first += pass / 2
+	}
+	o.cost = u.harm(now, before, after)
+	o.cost += failureCost * u.failureShare(now) * r.weight / float64(parts)
+	lane := u.place
+	if part*time.Duration(parts) >= longRead {
+		lane = 1 - u.place
+	}
+	o.cost += laneCost * lane * r.weight / float64(parts)
+	if u.DataCentre != c.config.DataCentre {
+		o.cost += remoteCost * r.weight / float64(parts)
+	}
+	// Members are taken by what waiting for them costs, too.
+	o.cost += r.weight * lateness(now-r.arrived+o.first, r.Route.Target) / float64(parts)
+	return o
+}
+
+func slots(u *upstream, e *route.Engine) int {
+	if e.Slots > 0 {
+		return e.Slots
+	}
+	return max(1, u.Slots)
+}
+
+func hasMemory(e *route.Engine, l load, tokens int) bool {
+	return e.MemoryTokens == 0 || l.memory+tokens <= int(memoryShare*float64(e.MemoryTokens))
+}
--- /dev/null
+++ b/internal/balance/request.go
@@ -0,0 +1,308 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/route"
+)
+
+// request is one request of this host.
+type request struct {
+	Arrived
+	arrived time.Duration
+	weight  float64
+
+	attempt int
+	// runs counts attempts that may have run; notRun is true while none may.
+	runs    int
+	tried   map[string]bool
+	members []*upstream
+	// sent says that the current attempt was handed to an upstream.
+	sent bool
+	// tickets are the reservations of the current attempt; missing counts those
+	// not confirmed yet.
+	tickets []Member
+	missing int
+	renewed time.Duration
+	// lastCode is why the last attempt ended without an answer.
+	lastCode Code
+	lastOwn  bool
+	// notBefore delays the next try.
+	notBefore time.Duration
+	queuedAt  time.Duration
+	planned   *plan
+}
+
+func (r *request) key() taskKey { return taskKey{number: r.Number} }
+
+func (c *Core) arrive(e Arrived, now time.Duration) {
+	r := &request{Arrived: e, arrived: now, weight: weight(e.PromptTokens), tried: make(map[string]bool), queuedAt: now}
+	c.requests[e.Number] = r
+	c.budgetOf(e.Service).arrived(now, c.config.RetryWindow)
+	if code := c.hopeless(r); code != "" {
+		c.refuse(r, code, now)
+		return
+	}
+	if p := c.place(r, now); p != nil {
+		c.start(r, p, now)
+		return
+	}
+	c.enqueue(r, now)
+}
+
+// hopeless says why a request can't be served by any wait; empty if it can.
+func (c *Core) hopeless(r *request) Code {
+	g := c.groups[r.Service]
+	if g == nil {
+		return CodeNoUpstream
+	}
+	serving, memory := 0, 0
+	for _, u := range g.upstreams {
+		if u.Leaving {
+			continue
+		}
+		serving++
+		if u.engine != nil && serving <= maxMembers+1 {
+			memory += int(memoryShare * float64(u.engine.MemoryTokens))
+		}
+	}
+	if serving == 0 {
+		return CodeNoUpstream
+	}
+	if memory > 0 && r.PromptTokens+r.AnswerTokens > memory {
+		return CodeTooLarge
+	}
+	return ""
+}
+
+func (c *Core) budgetOf(service string) *budget {
+	b := c.budgets[service]
+	if b == nil {
+		b = &budget{}
+		c.budgets[service] = b
+	}
+	return b
+}
+
+// start carries a plan out: it reserves memory first where the plan says so.
+func (c *Core) start(r *request, p *plan, now time.Duration) {
+	r.attempt++
+	r.planned = p
+	r.members = p.members
+	r.sent = false
+	for i, u := range p.members {
+		w := &work{
+			key: r.key(), leads: i == 0, read: p.part, memory: p.reserved,
+			weight: r.weight, target: r.Route.Target, gap: r.Route.PieceGap,
+			arrived: r.arrived, expires: r.Deadline,
+		}
+		if p.reserved == 0 && i == 0 {
+			w.memory = r.PromptTokens + r.AnswerTokens
+		}
+		if i == 0 || p.reserved > 0 {
+			w.context = r.PromptTokens / max(1, partsHeld(p))
+		}
+		u.add(w, now)
+		c.tellStart(u, w, r, now)
+	}
+	if p.reserved > 0 {
+		c.reserve(r, p, now)
+		return
+	}
+	c.send(r, p, now)
+}
+
+// partsHeld is over how many members a plan spreads the prompt's memory.
+func partsHeld(p *plan) int {
+	if p.reserved > 0 {
+		return len(p.members)
+	}
+	return 1
+}
+
+func (c *Core) send(r *request, p *plan, now time.Duration) {
+	r.sent = true
+	r.tried[p.members[0].ID] = true
+	s := Send{
+		Number: r.Number, Attempt: r.attempt, Deadline: r.Deadline,
+		Members:       make([]Member, len(p.members)),
+		Urgency:       urgency(r),
+		ConnectWithin: min(maxConnect, (r.Deadline-now)/connectPart),
+		Why:           c.choice(p, now),
+	}
+	for i, u := range p.members {
+		s.Members[i] = Member{Upstream: u.ID, Address: u.Address}
+		if i < len(r.tickets) {
+			s.Members[i] = r.tickets[i]
+		}
+	}
+	if r.Route.Repeatable() && r.runs+1 < r.Route.MaxRuns {
+		s.FirstWithin = firstPieceFactor*p.predicted + firstPieceSlack
+		if r.Route.Kind == route.Safe {
+			s.FirstWithin = safeAnswerFactor * r.Route.Target
+		}
+		s.PieceWithin = pieceSlack
+	}
+	c.emit(s)
+}
+
+// urgency is the rank within a server: shorter prompts and higher priorities
+// are admitted first.
+func urgency(r *request) int {
+	const lowest, middle = 9, 5
+	if r.PromptTokens == 0 {
+		return middle
+	}
+	rank := r.Priority
+	for tokens := r.PromptTokens; tokens > tokensPerWeight; tokens /= 4 {
+		rank++
+	}
+	return min(lowest, max(0, rank))
+}
+
+func (c *Core) choice(p *plan, now time.Duration) Choice {
+	u := p.members[0]
+	ch := Choice{
+		Predicted: p.predicted, Backlog: u.backlog(now), Requests: len(u.works),
+		FailureShare: u.failureShare(now), Cost: p.cost,
+	}
+	for _, w := range u.works {
+		if w.key.host != "" {
+			ch.FromPeers++
+			ch.OldestPeer = max(ch.OldestPeer, now-w.told)
+		}
+	}
+	return ch
+}
+
+func (c *Core) firstPiece(e FirstPiece, now time.Duration) {
+	r := c.current(e.Number, e.Attempt)
+	if r == nil {
+		return
+	}
+	c.noteWriting(r.key(), now)
+	c.news.Writing = append(c.news.Writing, r.Number)
+}
+
+// noteWriting ends a prompt's reading on all its members. Members that only
+// read have no more to do with it.
+func (c *Core) noteWriting(key taskKey, now time.Duration) {
+	for _, u := range c.upstreams {
+		w := u.find(key)
+		if w == nil {
+			continue
+		}
+		u.endRead(w, now)
+		if !w.leads && w.memory == 0 {
+			u.remove(key, now)
+		}
+	}
+}
+
+func (c *Core) finish(e Finished, now time.Duration) {
+	r := c.current(e.Number, e.Attempt)
+	if r == nil {
+		return
+	}
+	c.judge(r.members[0], "", now)
+	c.endAttempt(r, "", now)
+	delete(c.requests, r.Number)
+}
+
+// current returns a request if the attempt is the one under way.
+func (c *Core) current(number uint64, attempt int) *request {
+	r := c.requests[number]
+	if r == nil || r.attempt != attempt || len(r.members) == 0 {
+		return nil
+	}
+	return r
+}
+
+// endAttempt takes an attempt off the books, gives its memory back and tells
+// the other hosts.
+func (c *Core) endAttempt(r *request, class Class, now time.Duration) {
+	for _, ticket := range r.tickets {
+		c.emit(Release{Member: ticket})
+	}
+	end := ToldEnd{Number: r.Number, Class: class}
+	if len(r.members) > 0 {
+		end.Upstream = r.members[0].ID
+	}
+	c.dropWork(r.key(), now)
+	c.news.Ended = append(c.news.Ended, end)
+	r.members, r.tickets, r.missing, r.planned = nil, nil, 0, nil
+}
+
+func (c *Core) dropWork(key taskKey, now time.Duration) {
+	for _, u := range c.upstreams {
+		u.remove(key, now)
+	}
+}
+
+func (c *Core) attemptFailed(e AttemptFailed, now time.Duration) {
+	r := c.current(e.Number, e.Attempt)
+	if r == nil {
+		return
+	}
+	culprit := r.members[0]
+	for _, u := range r.members {
+		if u.Address == e.Culprit {
+			culprit = u
+		}
+	}
+	c.judge(culprit, e.Class, now)
+	r.tried[culprit.ID] = true
+	c.endAttempt(r, e.Class, now)
+	if e.Class.ran() {
+		r.runs++
+	}
+	r.lastCode = CodeUpstream
+	r.lastOwn = e.Class == Failed
+	c.tryAgain(r, now)
+}
+
+// tryAgain repeats a request where that is allowed and may help.
+func (c *Core) tryAgain(r *request, now time.Duration) {
+	if r.runs > 0 && (!r.Route.Repeatable() || r.runs >= r.Route.MaxRuns) {
+		c.end(r, now)
+		return
+	}
+	if r.Deadline-now < minLeft {
+		r.lastCode = CodeTimeLimit
+		c.end(r, now)
+		return
+	}
+	if !c.budgetOf(r.Service).spend(now, &c.config, c.others+1) {
+		r.lastCode = CodeBudget
+		c.end(r, now)
+		return
+	}
+	if p := c.place(r, now); p != nil {
+		c.start(r, p, now)
+		return
+	}
+	r.queuedAt = now
+	c.enqueue(r, now)
+}
+
+// end gives the final answer to a request that will not be tried again.
+func (c *Core) end(r *request, now time.Duration) {
+	if r.runs == 0 {
+		c.refuse(r, r.lastCode, now)
+		return
+	}
+	delete(c.requests, r.Number)
+	c.emit(Fail{Number: r.Number, Code: r.lastCode, LastAnswer: r.lastOwn})
+}
+
+func (c *Core) callerGone(e CallerGone, now time.Duration) {
+	r := c.requests[e.Number]
+	if r == nil {
+		return
+	}
+	if len(r.members) > 0 {
+		c.endAttempt(r, "", now)
+	}
+	delete(c.requests, r.Number)
+	c.unqueue(r)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,11 +5,13 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/oklog/run"
 
 	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/outlog"
 	"github.com/chestnutline/chestnutline/internal/settings"
 )
 
@@ -24,12 +26,15 @@
 // the actors to the group once the settings are resolved.
 func Main(name, description string, s Settings, assemble func(log.Interface, *run.Group) error) int {
 	settings.MustParse(settings.NewParser(name, description, settings.Version), s)
-	logger, err := settings.Logger(os.Stderr, s.Level())
+	lines := outlog.New(os.Stdout)
+	defer lines.Close()
+	logger, err := settings.Logger(lines, s.Level())
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: --log-level: %v\n", name, err)
 		return settings.ExitUsage
 	}
 	var g run.Group
+	addDropReport(&g, lines, logger)
 	err = assemble(logger, &g)
 	if err == nil {
 		err = g.Run()
@@ -41,3 +46,27 @@
 	logevent.ProcessStopped.Emit(logger, nil)
 	return settings.ExitOK
 }
+
+// dropReportInterval is the time between two looks at dropped log lines.
+const dropReportInterval = 10 * time.Second
+
+// addDropReport logs how many lines the limit of the log's volume has dropped.
+func addDropReport(g *run.Group, lines *outlog.Writer, logger log.Interface) {
+	done := make(chan struct{})
+	g.Add(func() error {
+		ticker := time.NewTicker(dropReportInterval)
+		defer ticker.Stop()
+		reported := uint64(0)
+		for {
+			select {
+			case <-done:
+				return nil
+			case <-ticker.C:
+				if dropped := lines.Dropped(); dropped > reported {
+					logevent.LogLinesDropped.Emit(logger, log.Fields{"lines": dropped - reported})
+					reported = dropped
+				}
+			}
+		}
+	}, func(error) { close(done) })
+}
--- /dev/null
+++ b/internal/gateway/orders.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/balance"
+	"github.com/chestnutline/chestnutline/internal/httpcall"
+	"github.com/chestnutline/chestnutline/internal/logevent"
+	"github.com/chestnutline/chestnutline/internal/telemetry"
+	"github.com/chestnutline/chestnutline/platform"
+)
+
+// orderTimeout bounds an order to a server, which answers without work; it
+// covers a round trip between data centres and one pass.
+const orderTimeout = 500 * time.Millisecond
+
+// orders sends memory reservations to servers.
+type orders struct {
+	calls   *httpcall.Client
+	logger  log.Interface
+	metrics *telemetry.Set
+	post    func(balance.Event)
+}
+
+// reserve asks for memory and posts the answer, unless it renews a lease.
+func (o *orders) reserve(e balance.Reserve) {
+	go func() {
+		body, err := platform.Reserve{Ticket: e.Member.Ticket, Tokens: e.Member.Tokens, Hold: e.Hold}.Encode()
+		if err == nil {
+			err = o.call(e.Member, body)
+		}
+		fields := log.Fields{
+			"ticket": e.Member.Ticket, "upstream": e.Member.Upstream, "tokens": e.Member.Tokens, "renewal": e.Renewal, "ok": err == nil,
+		}
+		if err != nil {
+			fields["error"] = err.Error()
+		}
+		if !e.Renewal || err != nil {
+			logevent.MemoryReserved.Emit(o.logger, fields)
+		}
+		if !e.Renewal {
+			o.post(balance.Reserved{Number: e.Number, Attempt: e.Attempt, Upstream: e.Member.Upstream, OK: err == nil})
+		}
+	}()
+}
+
+// release gives memory back. One that fails is ended by its lease.
+func (o *orders) release(m balance.Member) {
+	go func() {
+		body, err := platform.Release{Ticket: m.Ticket}.Encode()
+		if err == nil {
+			err = o.call(m, body)
+		}
+		if err != nil {
+			logevent.MemoryNotReleased.Emit(o.logger, log.Fields{"ticket": m.Ticket, "upstream": m.Upstream, "error": err.Error()})
+		}
+	}()
+}
+
+func (o *orders) call(m balance.Member, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	response, err := o.calls.Do(ctx, httpcall.Call{
+		Method: http.MethodPost, Address: m.Address, Path: platform.OrderPath,
+		Header: platform.OrderHeader(m.Upstream), Body: bytes.NewReader(body), Length: int64(len(body)), Fresh: true,
+	})
+	o.metrics.Count("gateway_orders_total", 1)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	const maxOrderAnswer = 64 << 10
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderAnswer)); err != nil {
+		return errors.Wrap(err, "read the answer to an order")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("order answered with status %d", response.StatusCode)
+	}
+	return nil
+}
--- a/internal/telemetry/page_test.go
+++ b/internal/telemetry/page_test.go
@@ -26,6 +26,7 @@
 const (
 	byController = "Controller"
 	byRouter     = "Router"
+	byGateway    = "Gateway"
 )
 
 // TestPageMatchesCode compares the page with every write of a metric in the
@@ -211,6 +212,9 @@
 	if strings.Contains(filepath.ToSlash(r.dir), "internal/controller") {
 		process = byController
 	}
+	if strings.Contains(filepath.ToSlash(r.dir), "internal/gateway") {
+		process = byGateway
+	}
 	r.found[describe(process, r.text(call.Args[0]), typeOf[method.Sel.Name], labels)] = true
 	return true
 }
