Let harmful prompts wait, late ones go last, and price the reading ahead

In bursts of short prompts each host served its queue in order of arrival, so that all were late; hosts that freed a slot took it themselves.

Change: the reading time ahead is priced for what will arrive; a request whose placement would cost others over 0.6 of its weight waits for up to 0.3 of what callers bear; late requests go behind those that can be in time; two requests beyond the slots; a pause is taken as silence only when callers are about to leave.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -74,6 +74,11 @@
 	remoteCost = 0.02
 	// memberCost is the cost of each further server that a prompt depends on.
 	memberCost = 0.004
+	// backlogCost prices the reading time ahead on a server for what will arrive
+	// there, per square of backlogScale: what is behind waits, and each pause
+	// grows, in proportion to it.
+	backlogCost  = 2.5
+	backlogScale = time.Second
 	// failureCost multiplies the share of failures seen at an upstream.
 	failureCost = 2.0
 	// crowdedAt is the share of slots above which a server costs more, since
@@ -92,9 +97,18 @@
 	// event beyond its prediction, before another upstream is tried.
 	firstPieceSlack  = 900 * time.Millisecond
 	firstPieceFactor = 3
-	// pieceSlack bounds a pause within a stream; engines that depend on a lost
-	// one stall for about 1.5 s, and callers leave after 2 s.
-	pieceSlack = 1300 * time.Millisecond
+	// minPieceWithin is the shortest pause within a stream after which another
+	// upstream is tried. Callers leave after 2 s, and going on elsewhere takes
+	// about 0.2 s.
+	minPieceWithin = 1700 * time.Millisecond
+	// piecePart is the part of the longest pause that callers bear.
+	piecePart = 0.6
+	// minBorne is how long callers of streams wait at least.
+	minBorne = 2 * time.Second
+	// bornePauses and borneTargets are the multiples of the objectives for
+	// pauses and the first piece that callers bear at least.
+	bornePauses  = 8
+	borneTargets = 4
 	// connectPart is the part of the time left that may go into connecting.
 	connectPart = 4
 	// maxConnect bounds connecting: one round trip and its variation between
@@ -109,10 +123,19 @@
 
 // Queue.
 const (
-	// maxWait bounds the time in the host's queue.
-	maxWait = 2 * time.Second
+	// slotQueue is how many requests more than it has slots a server gets while
+	// all are full. They take a free slot without a round trip, in an order
+	// that is the same for all hosts.
+	slotQueue = 2
+	// waitMargin is the time before callers leave by which a waiting request is
+	// refused, so that they learn when to come back.
+	waitMargin = 200 * time.Millisecond
 	// maxQueue bounds the requests waiting in a host.
 	maxQueue = 256
+	// holdCost is the part of a request's weight above which the harm of placing
+	// it now makes it wait, for at most holdPart of the time that callers bear.
+	holdCost = 0.6
+	holdPart = 0.3
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/chestnutline/chestnutline/internal/route"
 )
 
 // enqueue lets a request wait for room, or refuses it when none will come.
@@ -18,18 +20,49 @@
 		return
 	}
 	c.waiting = append(c.waiting, r)
-	sort.SliceStable(c.waiting, func(i, j int) bool { return c.before(c.waiting[i], c.waiting[j]) })
 }
 
-// before is the order of service: by priority, then by the objective's end, so
-// that a long prompt that has waited goes ahead of later short ones.
-func (c *Core) before(a, b *request) bool {
+// before is the order of service: by priority; then those that can still be
+// in time, by the end of their objective; then those that are late, the oldest
+// first. In a burst beyond capacity some are late instead of all.
+func before(a, b *request, now time.Duration) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if aLate, bLate := a.late(now), b.late(now); aLate != bLate {
+		return bLate
+	}
 	return a.arrived+a.Route.Target < b.arrived+b.Route.Target
 }
 
+// late says whether a request can no longer meet its objective.
+func (r *request) late(now time.Duration) bool {
+	return now > r.arrived+r.Route.Target
+}
+
+// refusedAt is when a waiting request is refused: before its caller leaves.
+func (r *request) refusedAt() time.Duration {
+	at := r.Deadline - minLeft
+	if r.Route.Kind == route.Stream {
+		at = min(at, r.arrived+borne(r.Route)-waitMargin)
+	}
+	return at
+}
+
+// placeNow chooses upstreams for a request unless placing it would harm the
+// others more than it gains, and it can still wait. Its answer to a burst of
+// long prompts is that these wait for the pauses between the others.
+func (c *Core) placeNow(r *request, now time.Duration) *plan {
+	p := c.place(r, now)
+	if p == nil || p.cost <= holdCost*r.weight || r.Route.Kind != route.Stream {
+		return p
+	}
+	if now < r.arrived+time.Duration(holdPart*float64(borne(r.Route))) {
+		return nil
+	}
+	return p
+}
+
 func (c *Core) unqueue(r *request) {
 	for i, waiting := range c.waiting {
 		if waiting == r {
@@ -44,16 +77,17 @@
 func (c *Core) serveWaiting(now time.Duration) {
 	queue := c.waiting
 	c.waiting = nil
+	sort.SliceStable(queue, func(i, j int) bool { return before(queue[i], queue[j], now) })
 	var still []*request
 	for _, r := range queue {
 		switch {
-		case r.Deadline-now < minLeft || now-r.queuedAt > maxWait:
+		case now > r.refusedAt():
 			r.lastCode = CodeOverloaded
 			c.end(r, now)
 		case now < r.notBefore:
 			still = append(still, r)
 		default:
-			if p := c.place(r, now); p != nil {
+			if p := c.placeNow(r, now); p != nil {
 				c.start(r, p, now)
 			} else {
 				still = append(still, r)
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -43,7 +43,7 @@
 		c.refuse(r, code, now)
 		return
 	}
-	if p := c.place(r, now); p != nil {
+	if p := c.placeNow(r, now); p != nil {
 		c.start(r, p, now)
 		return
 	}
@@ -141,11 +141,21 @@
 		if r.Route.Kind == route.Safe {
 			s.FirstWithin = safeAnswerFactor * r.Route.Target
 		}
-		s.PieceWithin = pieceSlack
+		s.PieceWithin = pieceWithin(r.Route)
 	}
 	c.emit(s)
 }
 
+// pieceWithin is the pause after which a stream goes on elsewhere.
+func pieceWithin(r *route.Route) time.Duration {
+	return max(minPieceWithin, time.Duration(piecePart*float64(borne(r))))
+}
+
+// borne is how long callers wait for a stream's first or next event.
+func borne(r *route.Route) time.Duration {
+	return max(minBorne, bornePauses*r.PieceGap, borneTargets*r.Target)
+}
+
 // urgency is the rank within a server: shorter prompts and higher priorities
 // are admitted first.
 func urgency(r *request) int {
@@ -277,7 +287,7 @@
 		c.end(r, now)
 		return
 	}
-	if p := c.place(r, now); p != nil {
+	if p := c.placeNow(r, now); p != nil {
 		c.start(r, p, now)
 		return
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -15,8 +15,8 @@
 
 const (
 	// tickInterval is the time between two looks at the queue, leases and the
-	// news for other hosts; it is about the time of one engine pass.
-	tickInterval = 50 * time.Millisecond
+	// news for other hosts; it is below the time of one engine pass.
+	tickInterval = 20 * time.Millisecond
 	// eventQueue bounds the events that wait for the control thread.
 	eventQueue = 4096
 	// effectQueue bounds the effects that wait for one request's goroutine:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,9 +27,13 @@
 	// failure is an upstream's own failure, kept as the answer of last resort.
 	failure *kept
 	// first is the time to the first byte of the answer.
-	first    time.Duration
-	pieces   int
-	upstream string
+	first time.Duration
+	// pause is the longest time between two pieces, lastPiece when the last one
+	// was passed on.
+	pause     time.Duration
+	lastPiece time.Duration
+	pieces    int
+	upstream  string
 }
 
 // run has the core decide and carries its effects out until the request ended.
@@ -177,6 +181,7 @@
 		"request": x.in.ask.ID, "attempt": s.Attempt, "upstream": x.upstream,
 		"first_ms": x.first.Milliseconds(), "whole_ms": whole.Milliseconds(), "pieces": x.pieces,
 		"predicted_ms": s.Why.Predicted.Milliseconds(), "target_ms": x.in.route.Target.Milliseconds(),
+		"longest_pause_ms": x.pause.Milliseconds(), "pause_target_ms": x.in.route.PieceGap.Milliseconds(),
 	})
 	x.metrics.Count("gateway_delivered_total", 1)
 	x.metrics.Observe("gateway_first_piece_seconds", x.first, "class", lengthClass(x.in.ask.PromptTokens))
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -60,7 +60,11 @@
 	configuration, servers, hosts *watcher
 
 	callers, ready *http.Server
-	watching       sync.WaitGroup
+	// drained is closed when no request is in flight any more, or none is
+	// waited for.
+	drained  chan struct{}
+	endDrain func()
+	watching sync.WaitGroup
 }
 
 // New returns a process that has not opened any port yet.
@@ -68,8 +72,9 @@
 	in := s.surroundings
 	p := &Process{
 		settings: s, logger: logger, clock: clock.Start(), metrics: telemetry.New(),
-		boot: uint64(time.Now().UnixNano()),
+		boot: uint64(time.Now().UnixNano()), drained: make(chan struct{}),
 	}
+	p.endDrain = sync.OnceFunc(func() { close(p.drained) })
 	core, err := balance.New(balance.Config{
 		Host: in.Host, DataCentre: in.DataCentre,
 		RetryRatio: in.RetryRatio, RetryWindow: in.RetryWindow, RetrySlack: in.RetrySlack,
@@ -147,7 +152,7 @@
 		serve   func(net.Listener) error
 		close   func()
 	}{
-		{in.CallerAddress, serveHTTP(p.callers), func() { p.closed(p.callers.Close()) }},
+		{in.CallerAddress, p.serveCallers, func() { p.closed(p.callers.Close()); p.endDrain() }},
 		{in.ReadyAddress, serveHTTP(p.ready), func() { p.closed(p.ready.Close()) }},
 		{p.peerAddress(), p.peers.transport.Serve, p.peers.transport.Close},
 	} {
@@ -172,6 +177,16 @@
 	return nil
 }
 
+// serveCallers answers callers. It returns only once the requests in flight
+// are finished, since its end would end the process.
+func (p *Process) serveCallers(l net.Listener) error {
+	err := serveHTTP(p.callers)(l)
+	if err == nil {
+		<-p.drained
+	}
+	return err
+}
+
 func serveHTTP(s *http.Server) func(net.Listener) error {
 	return func(l net.Listener) error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -268,6 +283,7 @@
 // stop finishes the requests in flight: it tells the balancer, goes on taking
 // requests until that has noticed, and waits for what is under way.
 func (p *Process) stop() error {
+	defer p.endDrain()
 	p.drain.begin()
 	logevent.ProcessStopping.Emit(p.logger, log.Fields{"in_flight": p.control.inFlight(), "grace_ms": p.drain.grace.Milliseconds()})
 	deadline := p.clock.Now() + p.drain.left(p.clock.Now())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -121,6 +121,11 @@
 	if e.id != noID {
 		a.lastEvent = e.id
 	}
+	now := a.clock.Now()
+	if a.pieces > 0 {
+		a.pause = max(a.pause, now-a.lastPiece)
+	}
+	a.lastPiece = now
 	a.pieces++
 	return nil
 }
