Set the placement's weights by played loads; judge outages by the store's silence

Waiting requests that can be in time go first, the newest of them. An outage is the silence of all calls for 3 s. Pauses after changes of servers are 0.5 s, of hosts 2 s.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -60,7 +60,7 @@
 	longRead = 120 * time.Millisecond
 	// comfort is the part of an objective up to which a prediction costs
 	// nothing; the rest is room for what arrives before it comes true.
-	comfort = 0.55
+	comfort = 0.65
 	// lateLoss is the part of an answer's worth that is lost by being late.
 	lateLoss = 0.75
 	// abandonAt is the multiple of an objective at which callers leave.
@@ -69,7 +69,7 @@
 	tokensPerWeight = 10000.0
 	// laneCost is the cost of the far end of the upstreams' order, which keeps
 	// short and long prompts at different ends of it.
-	laneCost = 0.08
+	laneCost = 0.03
 	// remoteCost is the cost of an upstream in another data centre.
 	remoteCost = 0.02
 	// memberCost is the cost of each further server that a prompt depends on.
@@ -77,7 +77,7 @@
 	// backlogCost prices the reading time ahead on a server for what will arrive
 	// there, per square of backlogScale: what is behind waits, and each pause
 	// grows, in proportion to it.
-	backlogCost  = 2.5
+	backlogCost  = 0.8
 	backlogScale = time.Second
 	// failureCost multiplies the share of failures seen at an upstream.
 	failureCost = 2.0
@@ -123,10 +123,9 @@
 
 // Queue.
 const (
-	// slotQueue is how many requests more than it has slots a server gets while
-	// all are full. They take a free slot without a round trip, in an order
-	// that is the same for all hosts.
-	slotQueue = 2
+	// waitPart is the part of an objective that a request may wait and still be
+	// in time; the rest goes into reading and the first pass.
+	waitPart = 0.5
 	// waitMargin is the time before callers leave by which a waiting request is
 	// refused, so that they learn when to come back.
 	waitMargin = 200 * time.Millisecond
@@ -134,8 +133,8 @@
 	maxQueue = 256
 	// holdCost is the part of a request's weight above which the harm of placing
 	// it now makes it wait, for at most holdPart of the time that callers bear.
-	holdCost = 0.6
-	holdPart = 0.3
+	holdCost = 2.0
+	holdPart = 0.45
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -43,7 +43,7 @@
 }
 
 // renewals is how many times a reservation is renewed within its lease.
-const renewals = 3
+const renewals = 2
 
 // renew extends the leases of the memory in use.
 func (c *Core) renew(now time.Duration) {
--- /dev/null
+++ b/internal/balance/load_test.go
@@ -0,0 +1,111 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// playMix plays short prompts beside books and returns the world afterwards.
+func playMix(policy Policy, shorts, books float64, seed uint64) *world {
+	w := newWorld(policy, 4, 12, seed)
+	random := rand.New(rand.NewPCG(seed, 7))
+	const length = 12 * time.Second
+	w.traffic(random, shortRoute, shorts, 4960, 0.9, 1300, length)
+	w.traffic(random, bookRoute, books, 133000, 0.55, 650, length)
+	w.run(length + 16*time.Second)
+	return w
+}
+
+// seeds is how many runs of a mix are taken together.
+const seeds = 6
+
+// mixInTime is the share of each kind in time over all seeds.
+func mixInTime(policy Policy, shorts, books float64) (short, book float64) {
+	var all world
+	for seed := range uint64(seeds) {
+		all.results = append(all.results, playMix(policy, shorts, books, seed).results...)
+	}
+	return all.inTime("short"), all.inTime("book")
+}
+
+// TestShortPromptsStayInTimeBesideBooks plays the mix of a calm day: 95 in 100
+// short prompts are in time, as the users' aim asks, and both kinds do clearly
+// better than with the plain policy.
+func TestShortPromptsStayInTimeBesideBooks(t *testing.T) {
+	short, book := mixInTime(Predict, 25, 1.2)
+	plainShort, plainBook := mixInTime(Plain, 25, 1.2)
+	t.Logf("short %.3f (plain %.3f), book %.3f (plain %.3f)", short, plainShort, book, plainBook)
+	if short < 0.95 || short < plainShort+0.1 || book < plainBook+0.1 {
+		t.Error("short prompts are late, or no clear gain over the plain policy")
+	}
+}
+
+// TestManyBooksHarmFewShortPrompts plays the hours of books: nearly all the
+// reading that the servers can do.
+func TestManyBooksHarmFewShortPrompts(t *testing.T) {
+	short, book := mixInTime(Predict, 10, 2.6)
+	plainShort, plainBook := mixInTime(Plain, 10, 2.6)
+	t.Logf("short %.3f (plain %.3f), book %.3f (plain %.3f)", short, plainShort, book, plainBook)
+	if short < plainShort+0.1 || book < plainBook+0.1 {
+		t.Error("no clear gain over the plain policy")
+	}
+}
+
+// TestBurstOfShortPromptsIsNotAllLate plays more short prompts than the slots
+// hold for some seconds: part of them must still be in time.
+func TestBurstOfShortPromptsIsNotAllLate(t *testing.T) {
+	w := newWorld(Predict, 4, 6, 1)
+	random := rand.New(rand.NewPCG(1, 1))
+	w.traffic(random, shortRoute, 55, 4960, 0.9, 1300, 8*time.Second)
+	w.run(24 * time.Second)
+	t.Logf("%.3f in time", w.inTime("short"))
+	if got := w.inTime("short"); got < 0.4 {
+		t.Errorf("%.3f in time", got)
+	}
+}
+
+// TestAllMemoryIsGivenBack plays books, some larger than a server, and looks
+// for work and reservations left on the books when all is over.
+func TestAllMemoryIsGivenBack(t *testing.T) {
+	w := playMix(Predict, 5, 2.5, 9)
+	if len(w.held) > 0 {
+		t.Errorf("reservations left: %v", w.held)
+	}
+	for i, core := range w.cores {
+		for id, u := range core.upstreams {
+			if len(u.works) > 0 {
+				t.Errorf("host %d has %d works on %s", i, len(u.works), id)
+			}
+			if backlog := u.backlog(w.now); backlog > 0 {
+				t.Errorf("host %d expects %v of reading on %s", i, backlog, id)
+			}
+		}
+		if len(core.requests) > 0 || len(core.waiting) > 0 {
+			t.Errorf("host %d has %d requests, %d waiting", i, len(core.requests), len(core.waiting))
+		}
+	}
+}
+
+// TestAPromptLargerThanAServerIsServed places one prompt of 600,000 tokens.
+func TestAPromptLargerThanAServerIsServed(t *testing.T) {
+	w := newWorld(Predict, 1, 12, 3)
+	w.arrive(0, bookRoute, 600000, 600)
+	w.run(15 * time.Second)
+	if len(w.results) != 1 || !w.results[0].delivered {
+		t.Errorf("results: %+v", w.results)
+	}
+}
+
+// TestSameEventsGiveTheSameResults plays a load twice.
+func TestSameEventsGiveTheSameResults(t *testing.T) {
+	a, b := playMix(Predict, 20, 1.5, 4), playMix(Predict, 20, 1.5, 4)
+	if len(a.results) != len(b.results) {
+		t.Fatalf("%d and %d results", len(a.results), len(b.results))
+	}
+	for i := range a.results {
+		if a.results[i] != b.results[i] {
+			t.Fatalf("result %d: %+v and %+v", i, a.results[i], b.results[i])
+		}
+	}
+}
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -150,7 +150,7 @@
 	sort.SliceStable(options, func(i, j int) bool { return options[i].cost < options[j].cost })
 	lead := -1
 	for i, o := range options {
-		if o.l.leading < slots(o.u, e)+slotQueue && (reserved > 0 || hasMemory(e, o.l, need)) {
+		if o.l.leading < slots(o.u, e) && (reserved > 0 || hasMemory(e, o.l, need)) {
 			lead = i
 			break
 		}
@@ -203,9 +203,6 @@
 	if o.l.leading > 0 {
 		o.first += pass / 2
 	}
-	if over := o.l.leading + 1 - slots(u, e); over > 0 {
-		o.first += time.Duration(over) * slotWait(e, pass, slots(u, e))
-	}
 	o.cost = u.harm(now, before, after)
 	o.cost += backlogPrice(u.backlog(now)+part) - backlogPrice(u.backlog(now))
 	o.cost += failureCost * u.failureShare(now) * r.weight / float64(parts)
@@ -228,16 +225,6 @@
 	return backlogCost * x * x
 }
 
-// slotWait is the mean time until one of a server's slots becomes free: its
-// streams end one after the other, after the usual number of events.
-func slotWait(e *route.Engine, pass time.Duration, slots int) time.Duration {
-	if e.StepsPerPass == 0 {
-		return 0
-	}
-	events := max(1, e.UsualAnswer/e.StepsPerPass)
-	return time.Duration(events) * pass / time.Duration(slots)
-}
-
 func slots(u *upstream, e *route.Engine) int {
 	if e.Slots > 0 {
 		return e.Slots
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -23,21 +23,26 @@
 }
 
 // before is the order of service: by priority; then those that can still be
-// in time, by the end of their objective; then those that are late, the oldest
-// first. In a burst beyond capacity some are late instead of all.
+// in time, the latest first, since serving those about to be late would make
+// all late in turn; then those that are late, the oldest first.
 func before(a, b *request, now time.Duration) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	if aLate, bLate := a.late(now), b.late(now); aLate != bLate {
+	aLate, bLate := a.late(now), b.late(now)
+	if aLate != bLate {
 		return bLate
 	}
-	return a.arrived+a.Route.Target < b.arrived+b.Route.Target
+	if aLate {
+		return a.arrived < b.arrived
+	}
+	return a.arrived > b.arrived
 }
 
-// late says whether a request can no longer meet its objective.
+// late says whether a request can hardly meet its objective any more, given
+// the part of it that serving takes even without waiting.
 func (r *request) late(now time.Duration) bool {
-	return now > r.arrived+r.Route.Target
+	return now > r.arrived+time.Duration(waitPart*float64(r.Route.Target))
 }
 
 // refusedAt is when a waiting request is refused: before its caller leaves.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	registry *registry
 	listed   bool
+	// answered is when the store last answered any call.
+	answered time.Duration
 }
 
 // inForce is a configuration with the time since when it is in force here.
@@ -117,11 +119,16 @@
 	}
 }
 
-// storeRegained notes the end of an outage of the store.
-func (b *beliefs) storeRegained() {
+// storeAnswered notes that the store is there, and so the end of an outage that
+// was long enough for registrations to lapse.
+func (b *beliefs) storeAnswered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.registry.outageEnded(b.clock.Now())
+	now := b.clock.Now()
+	if now-b.answered >= minLapse {
+		b.registry.outageEnded(now)
+	}
+	b.answered = now
 }
 
 // settle drops servers that did not come back in time after an outage.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -118,6 +118,8 @@
 	result := "ok"
 	if err != nil {
 		result = "failed"
+	} else {
+		p.beliefs.storeAnswered()
 	}
 	p.metrics.Count("gateway_store_calls_total", 1, "method", method, "result", result)
 }
@@ -224,16 +226,16 @@
 
 // newWatchers prepares the watches on the store.
 func (p *Process) newWatchers() {
-	watch := func(kind string, replace, change func([]platform.Object), regained func()) *watcher {
+	watch := func(kind string, pace time.Duration, replace, change func([]platform.Object)) *watcher {
 		return &watcher{
-			store: p.store, kind: kind, logger: p.logger, others: p.peers.count,
-			replace: replace, change: change, regained: regained,
+			store: p.store, kind: kind, pace: pace, logger: p.logger, others: p.peers.count,
+			replace: replace, change: change,
 		}
 	}
 	configured := p.beliefs.configurationChanged
-	p.configuration = watch(platform.ConfigurationKind, configured, configured, func() {})
-	p.servers = watch(platform.ServersKind, p.beliefs.serversListed, p.beliefs.serversChanged, p.beliefs.storeRegained)
-	p.hosts = watch(hostsKind, p.peers.listed, p.peers.changed, func() {})
+	p.configuration = watch(platform.ConfigurationKind, configurationPace, configured, configured)
+	p.servers = watch(platform.ServersKind, serversPace, p.beliefs.serversListed, p.beliefs.serversChanged)
+	p.hosts = watch(hostsKind, hostsPace, p.peers.listed, p.peers.changed)
 	p.peers.seen = func() []uint64 { return []uint64{p.configuration.seen(), p.servers.seen()} }
 	p.peers.heard = func(revisions []uint64) {
 		for i, w := range []*watcher{p.configuration, p.servers} {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -11,6 +11,10 @@
 	// lapseHold is how long after the store's return a server is kept that is
 	// missing from it: live ones register again within about two seconds.
 	lapseHold = 2200 * time.Millisecond
+	// minLapse is how long the store must have been away for registrations to
+	// lapse: they do after three missed heartbeats of a second or more. It is
+	// above the time between two answers in normal operation.
+	minLapse = 3 * time.Second
 	// massRemoval is the share of the servers whose removal at one time points
 	// to registrations that lapsed, not to servers that left.
 	massRemoval = 0.3
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -32,9 +32,14 @@
 	minWatchAge = 100 * time.Millisecond
 	// watchTimeout bounds a watch beyond its wait.
 	watchTimeout = 700 * time.Millisecond
-	// watchPace is the pause after a change, so that a series of changes costs
-	// few calls; it is well below the time for a change to be in force.
-	watchPace = 250 * time.Millisecond
+	// configurationPace, serversPace and hostsPace are the pauses after a
+	// change, so that a series of changes costs few calls. The first two are
+	// well below the time for a change to be in force or for a leaving server
+	// to get nothing new; hosts that do not know a new one yet only lack its
+	// messages.
+	configurationPace = 250 * time.Millisecond
+	serversPace       = 500 * time.Millisecond
+	hostsPace         = 2 * time.Second
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
@@ -48,9 +53,8 @@
 	// replace takes a complete list, change what was changed since.
 	replace func([]platform.Object)
 	change  func([]platform.Object)
-	// regained is called when the store answers after a failure, before what
-	// it answers is passed on.
-	regained func()
+	// pace is the pause after a change.
+	pace time.Duration
 
 	// others is the number of other hosts.
 	others func() int
@@ -164,7 +168,6 @@
 	}
 	w.lost = false
 	logevent.StoreRegained.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision})
-	w.regained()
 }
 
 // step reads the whole list when there is no revision to go on from, and waits
@@ -188,7 +191,7 @@
 	w.note(changes)
 	if len(changes) > 0 {
 		w.change(changes)
-		pause(ctx, watchPace)
+		pause(ctx, w.pace)
 	}
 	return next, nil
 }
--- a/internal/route/declaration.go
+++ b/internal/route/declaration.go
@@ -97,8 +97,6 @@
 	PairsPerMillion time.Duration
 	// ChunkTokens bounds the prompt tokens read in one step.
 	ChunkTokens int
-	// UsualAnswer is the mean length of an answer in tokens.
-	UsualAnswer int
 	// HopTime is added to each step of a request whose memory is spread.
 	HopTime time.Duration
 }
