--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,7 +83,7 @@
 		send.Helpers = append([]platform.Member{{Address: own.Address, Ticket: own.Ticket}}, send.Helpers...)
 	}
 	call := httpcall.Call{
-		Method: a.r.Method, Address: a.send.Members[0].Address, Path: a.r.RequestURI,
+		Method: a.r.Method, Address: a.send.Members[0].Address, Host: a.r.Host, Path: a.r.RequestURI,
 		Header: send.Header(a.r.Header), Fresh: true,
 	}
 	if len(a.in.body) > 0 || a.r.ContentLength != 0 {
--- /dev/null
+++ b/internal/gateway/beliefs_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutline/chestnutline/internal/balance"
+	"github.com/chestnutline/chestnutline/internal/clock"
+	"github.com/chestnutline/chestnutline/platform"
+	"github.com/chestnutline/chestnutline/platform/standin"
+)
+
+// applyBound is how long an accepted configuration may take to be in force.
+const applyBound = 2 * time.Second
+
+func (h *played) allows(request string, apiKey string) bool {
+	return h.ask("GET", "/g/", "", "Request-Id", request, "Authorization", "Token "+apiKey).status == http.StatusOK
+}
+
+// TestChangesThatAWatchMisses lets watches hear of nothing.
+func TestChangesThatAWatchMisses(t *testing.T) {
+	g := NewWithT(t)
+	h, store, _, _ := setUp(t)
+	g.Expect(h.allows("r1", "k2")).To(BeFalse())
+	store.SetDeaf(true)
+	declare(store, 2, "k2")
+	changed := time.Now()
+	h.await(func() bool { return h.allows("r2", "k2") }, "the new key in force")
+	g.Expect(time.Since(changed)).To(BeNumerically("<", applyBound))
+	g.Expect(h.allows("r3", "k1")).To(BeFalse(), "a key that was taken away")
+}
+
+func TestUnreadableConfigurationLeavesTheLastGoodOne(t *testing.T) {
+	g := NewWithT(t)
+	h, store, _, _ := setUp(t)
+	store.PutRaw("config", "main", json.RawMessage(`{"version":"x"}`))
+	store.PutRaw("servers", "odd", json.RawMessage(`{"state":5}`))
+	h.await(func() bool { return h.logs.has(7031) && h.logs.has(7023) }, "lines on what cannot be read")
+	g.Expect(h.allows("r1", "k1")).To(BeTrue())
+	declare(store, 1, "k2")
+	time.Sleep(300 * time.Millisecond)
+	g.Expect(h.allows("r2", "k1")).To(BeTrue(), "an older version does not replace a newer one")
+	declare(store, 3, "k2")
+	h.await(func() bool { return h.allows("r3", "k2") }, "the next good one")
+}
+
+// TestOutageOfTheStoreIsBridged goes on serving, also after the store forgot
+// its history meanwhile.
+func TestOutageOfTheStoreIsBridged(t *testing.T) {
+	g := NewWithT(t)
+	h, store, _, _ := setUp(t)
+	store.SetDown(true)
+	h.await(func() bool { return h.logs.has(7040) }, "a line on the outage")
+	g.Expect(h.allows("r1", "k1")).To(BeTrue())
+	declare(store, 2, "k2")
+	store.Compact()
+	store.SetDown(false)
+	h.await(func() bool { return h.allows("r2", "k2") }, "the change made meanwhile")
+	g.Expect(h.logs.has(7041)).To(BeTrue())
+}
+
+// TestAFreshHostKnowsNothing has a host start while the store is down.
+func TestAFreshHostKnowsNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := newBeliefs(clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
+	g.Expect(b.known()).To(BeFalse())
+	b.serversListed(nil)
+	g.Expect(b.known()).To(BeFalse(), "servers without a configuration")
+}
+
+// TestNewsOfRevisionsDoNotStarveAWatch has another host tell of ever newer
+// revisions, as in a storm of configurations, while each answer takes a while.
+func TestNewsOfRevisionsDoNotStarveAWatch(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.NewStore()
+	defer store.Close()
+	store.Put("config", "main", 0)
+	client := platform.NewStore(store.Address(), time.Second, time.Second, func(string, error) {})
+	defer client.Close()
+	var newest atomic.Uint64
+	seen := func(objects []platform.Object) {
+		for _, o := range objects {
+			newest.Store(o.Revision)
+		}
+	}
+	w := &watcher{
+		store: client, kind: "config", pace: time.Millisecond, others: func() int { return 1 },
+		logger: &log.Logger{Handler: discard.New()}, replace: seen, change: seen,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.run(ctx)
+	for i := range 100 {
+		store.Put("config", "main", i)
+		for range 5 {
+			w.hear(uint64(i) + 1000)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	g.Eventually(newest.Load, time.Second).Should(BeNumerically(">=", 100))
+}
+
+func upstreams(ids ...string) []balance.Upstream {
+	var list []balance.Upstream
+	for _, id := range ids {
+		list = append(list, balance.Upstream{ID: id})
+	}
+	return list
+}
+
+func TestServersThatLeaveAreGoneAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegistry()
+	r.replace(upstreams("a", "b", "c", "d", "e"), 0)
+	r.remove([]string{"a"}, time.Second)
+	g.Expect(r.list()).To(HaveLen(4))
+}
+
+// TestLapsedRegistrationsAreKeptForAWhile removes servers after an outage, and
+// many at once without one.
+func TestLapsedRegistrationsAreKeptForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegistry()
+	r.replace(upstreams("a", "b", "c", "d", "e"), 0)
+	r.outageEnded(10 * time.Second)
+	r.replace(upstreams("c", "d", "e"), 10*time.Second)
+	g.Expect(r.list()).To(HaveLen(5))
+	r.put(balance.Upstream{ID: "a"})
+	g.Expect(r.settle(12 * time.Second)).To(BeFalse())
+	g.Expect(r.settle(13 * time.Second)).To(BeTrue())
+	g.Expect(r.list()).To(Equal(upstreams("a", "c", "d", "e")))
+	r.remove([]string{"a", "c", "d"}, 20*time.Second)
+	g.Expect(r.list()).To(HaveLen(4))
+	g.Expect(r.settle(23 * time.Second)).To(BeTrue())
+	g.Expect(r.list()).To(HaveLen(1))
+}
+
+// TestAShortSilenceOfTheStoreIsNoOutage has a call fail between answers. A
+// server that leaves then once got requests for over two seconds more.
+func TestAShortSilenceOfTheStoreIsNoOutage(t *testing.T) {
+	g := NewWithT(t)
+	b := newBeliefs(clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
+	b.serversListed([]platform.Object{
+		{Name: "a", Spec: json.RawMessage(`{"service":"s","address":"127.0.0.1:1","slots":1,"state":"ready"}`)},
+	})
+	b.storeAnswered()
+	time.Sleep(50 * time.Millisecond)
+	b.storeAnswered()
+	b.serversChanged([]platform.Object{{Name: "a", Deleted: true}})
+	g.Expect(b.registry.list()).To(BeEmpty())
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -121,6 +121,8 @@
 	Method string
 	// Address is ip:port.
 	Address string
+	// Host is the Host header; empty means Address.
+	Host string
 	// Path is the path with its query.
 	Path   string
 	Header http.Header
@@ -150,6 +152,9 @@
 	if call.Header != nil {
 		req.Header = call.Header
 	}
+	if call.Host != "" {
+		req.Host = call.Host
+	}
 	if call.Body != nil {
 		req.Body = onceBody{call.Body}
 		req.ContentLength = call.Length
