Refuse prompts whose service would make everybody else late

Change: the harm that a placement does to others is kept apart from the request's own lateness. While it exceeds 0.4 of the request's weight the request waits, and is then refused with a time to come back. Reading ahead counts as harm by how busy the servers are, so an idle fleet takes any prompt.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -131,9 +131,10 @@
 	waitMargin = 200 * time.Millisecond
 	// maxQueue bounds the requests waiting in a host.
 	maxQueue = 256
-	// holdCost is the part of a request's weight above which the harm of placing
-	// it now makes it wait, for at most holdPart of the time that callers bear.
-	holdCost = 2.0
+	// holdCost is the multiple of a request's weight above which the harm of
+	// placing it now makes it wait, for at most holdPart of the time that
+	// callers bear.
+	holdCost = 0.4
 	holdPart = 0.45
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 250 * time.Millisecond
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -20,6 +20,8 @@
 	peers   map[string]*peer
 	// others is the number of other hosts.
 	others int
+	// activity is the share of upstreams with work in the choice under way.
+	activity float64
 
 	news      Told
 	toldWhole time.Duration
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -109,3 +109,29 @@
 		}
 	}
 }
+
+// TestAHugePromptDoesNotMakeAllOthersLate has prompts of 600,000 tokens come
+// into a burst of short ones: they wait, or are told when to come back, and
+// most of the short ones are in time.
+func TestAHugePromptDoesNotMakeAllOthersLate(t *testing.T) {
+	w := newWorld(Predict, 4, 12, 1)
+	random := rand.New(rand.NewPCG(1, 5))
+	w.traffic(random, shortRoute, 60, 4960, 0.9, 1300, 8*time.Second)
+	for i := range 3 {
+		w.at(time.Duration(2+i)*time.Second, func() { w.arrive(i, bookRoute, 600000, 600) })
+	}
+	w.run(30 * time.Second)
+	t.Logf("short %.3f", w.inTime("short"))
+	if got := w.inTime("short"); got < 0.9 {
+		t.Errorf("%.3f of the short prompts in time", got)
+	}
+	books := 0
+	for _, r := range w.results {
+		if r.route == "book" {
+			books++
+		}
+	}
+	if books != 3 {
+		t.Errorf("%d of 3 books have an answer", books)
+	}
+}
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -16,7 +16,9 @@
 	// reserved is the memory to set aside on each member; 0 for none.
 	reserved  int
 	predicted time.Duration
-	cost      float64
+	// cost is what it costs all, harm the part of it that others bear.
+	cost float64
+	harm float64
 }
 
 // option is one upstream as a member of a plan under consideration.
@@ -27,6 +29,7 @@
 	// in which the first event is written.
 	first time.Duration
 	cost  float64
+	harm  float64
 }
 
 // candidates are the upstreams that may get a request. Those that it was sent
@@ -65,12 +68,25 @@
 	if e == nil || r.PromptTokens == 0 {
 		return c.placeCall(r, candidates, now)
 	}
+	c.activity = activity(candidates)
 	if p := c.placePrompt(r, e, candidates, false, now); p != nil {
 		return p
 	}
 	return c.placePrompt(r, e, candidates, true, now)
 }
 
+// activity is the share of upstreams that have work. Where nobody else is
+// served, reading time ahead harms nobody.
+func activity(candidates []*upstream) float64 {
+	active := 0
+	for _, u := range candidates {
+		if len(u.works) > 0 {
+			active++
+		}
+	}
+	return float64(active) / float64(len(candidates))
+}
+
 // placePlain is the policy that others are measured against.
 func (c *Core) placePlain(r *request, candidates []*upstream) *plan {
 	best := candidates[c.random.IntN(len(candidates))]
@@ -168,6 +184,7 @@
 	take := func(o option) {
 		p.members = append(p.members, o.u)
 		p.cost += o.cost
+		p.harm += o.harm
 		first = max(first, o.first)
 	}
 	take(options[lead])
@@ -203,8 +220,10 @@
 	if o.l.leading > 0 {
 		o.first += pass / 2
 	}
-	o.cost = u.harm(now, before, after)
-	o.cost += backlogPrice(u.backlog(now)+part) - backlogPrice(u.backlog(now))
+	o.harm = u.harm(now, before, after)
+	ahead := backlogPrice(u.backlog(now)+part) - backlogPrice(u.backlog(now))
+	o.cost = o.harm + ahead
+	o.harm += ahead * c.activity
 	o.cost += failureCost * u.failureShare(now) * r.weight / float64(parts)
 	lane := u.place
 	if part*time.Duration(parts) >= longRead {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -51,18 +51,20 @@
 	if r.Route.Kind == route.Stream {
 		at = min(at, r.arrived+borne(r.Route)-waitMargin)
 	}
+	if r.harmful {
+		at = min(at, r.arrived+time.Duration(holdPart*float64(borne(r.Route))))
+	}
 	return at
 }
 
 // placeNow chooses upstreams for a request unless placing it would harm the
-// others more than it gains, and it can still wait. Its answer to a burst of
-// long prompts is that these wait for the pauses between the others.
+// others more than it gains. Such a request waits, and is refused after
+// holdPart of the time that its caller bears. This answers bursts of long
+// prompts, each of which would make the short streams of all servers late.
 func (c *Core) placeNow(r *request, now time.Duration) *plan {
 	p := c.place(r, now)
-	if p == nil || p.cost <= holdCost*r.weight || r.Route.Kind != route.Stream {
-		return p
-	}
-	if now < r.arrived+time.Duration(holdPart*float64(borne(r.Route))) {
+	r.harmful = p != nil && r.Route.Kind == route.Stream && p.harm > holdCost*r.weight
+	if r.harmful {
 		return nil
 	}
 	return p
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -30,7 +30,9 @@
 	// notBefore delays the next try.
 	notBefore time.Duration
 	queuedAt  time.Duration
-	planned   *plan
+	// harmful says that there was room, at too high a cost for others.
+	harmful bool
+	planned *plan
 }
 
 func (r *request) key() taskKey { return taskKey{number: r.Number} }
--- a/internal/balance/world_test.go
+++ b/internal/balance/world_test.go
@@ -56,6 +56,9 @@
 	home   *playedServer
 	leads  bool
 	events int
+	answer int
+	// again says that the caller was refused before.
+	again bool
 	// sent, last and worst follow the stream: arrival, last event, longest pause.
 	sent, first, last, worst time.Duration
 }
@@ -174,6 +177,10 @@
 		w.send(host, e)
 	case Refuse:
 		j := w.jobs[key(host, e.Number)]
+		if e.RetryAfter > 0 && !j.again {
+			w.at(e.RetryAfter, func() { w.comeBack(j) })
+			return
+		}
 		w.results = append(w.results, result{route: j.route.Name, prompt: j.prompt, refused: true})
 	case Reserve:
 		w.at(5*time.Millisecond, func() {
@@ -199,7 +206,7 @@
 func (w *world) arrive(host int, r *route.Route, prompt, answer int) {
 	w.next++
 	number := w.next
-	w.jobs[key(host, number)] = &job{host: host, number: number, route: r, prompt: prompt, sent: w.now, events: answer/w.engine.StepsPerPass + 1}
+	w.jobs[key(host, number)] = &job{host: host, number: number, route: r, prompt: prompt, answer: answer, sent: w.now, events: answer/w.engine.StepsPerPass + 1}
 	w.step(host, Arrived{
 		Number: number, ID: fmt.Sprint(number), Route: r, Service: "llm",
 		PromptTokens: prompt, AnswerTokens: answer, Deadline: w.now + r.Timeout,
@@ -207,6 +214,22 @@
 	w.at(r.Timeout, func() { w.timeOut(host, number) })
 }
 
+// comeBack has a refused caller try again, once, at the next host.
+func (w *world) comeBack(j *job) {
+	w.next++
+	host := (j.host + 1) % len(w.cores)
+	again := *j
+	again.host, again.number, again.again = host, w.next, true
+	w.jobs[key(host, w.next)] = &again
+	left := j.sent + j.route.Timeout - w.now
+	w.step(host, Arrived{
+		Number: w.next, ID: fmt.Sprint(w.next), Route: j.route, Service: "llm",
+		PromptTokens: j.prompt, AnswerTokens: j.answer, Deadline: w.now + left,
+	})
+	number := w.next
+	w.at(left, func() { w.timeOut(host, number) })
+}
+
 // timeOut has the caller leave if the request has not ended.
 func (w *world) timeOut(host int, number uint64) {
 	if w.cores[host].requests[number] == nil {
