Pass the hosts' news through a relay in each data centre; vary equal choices

Change: from 17 hosts on, news goes to the strongest host of the data centre, which passes it on every 8 ms to its own hosts and to the other relays. Costs vary at random by the number of hosts, since those that decide within these milliseconds would choose alike.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -70,6 +70,10 @@
 	// laneCost is the cost of the far end of the upstreams' order, which keeps
 	// short and long prompts at different ends of it.
 	laneCost = 0.03
+	// jitterCost varies the costs at random, for each other host, so that hosts
+	// which decide in the same moments, and know nothing of each other's choice
+	// yet, choose differently.
+	jitterCost = 0.0007
 	// remoteCost is the cost of an upstream in another data centre.
 	remoteCost = 0.02
 	// memberCost is the cost of each further server that a prompt depends on.
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -233,6 +233,7 @@
 	if u.DataCentre != c.config.DataCentre {
 		o.cost += remoteCost * r.weight / float64(parts)
 	}
+	o.cost += jitterCost * float64(c.others) * c.random.Float64() * r.weight / float64(parts)
 	// Members are taken by what waiting for them costs, too.
 	o.cost += r.weight * lateness(now-r.arrived+o.first, r.Route.Target) / float64(parts)
 	return o
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"sync"
 
@@ -10,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chestnutline/chestnutline/internal/balance"
+	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/logevent"
 	"github.com/chestnutline/chestnutline/internal/peer"
 	"github.com/chestnutline/chestnutline/internal/wire"
@@ -25,51 +27,63 @@
 // hostSpec is what a host registers about itself.
 type hostSpec struct {
 	// Address is where it listens for other hosts.
-	Address string `json:"address"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Power is its share of a processor.
+	Power float64 `json:"power"`
 	// Boot tells the runs of its process apart.
 	Boot uint64 `json:"boot"`
 }
 
+// message is what one host sends to another.
+type message struct {
+	Stage stage
+	// Seen are the newest revisions of the store's kinds that the sender knows of.
+	Seen  []uint64
+	Items []item
+}
+
 // peers are the other hosts and the messages to and from them.
 type peers struct {
-	self      string
+	self      member
 	transport *peer.Transport
+	clock     clock.Clock
 	logger    log.Interface
 	post      func(balance.Event)
-
-	// seen are the revisions of the store's objects seen here, in the order
+	// seen are the revisions of the store's objects known here, in the order
 	// that all hosts agree on; heard takes those of another host.
 	seen  func() []uint64
 	heard func([]uint64)
 
-	mu        sync.Mutex
-	addresses map[string]string
+	mu      sync.Mutex
+	members map[string]member
+	relays  *relays
+	batch   batch
+	// collected is signalled when a batch has begun.
+	collected chan struct{}
 }
 
-// message is what one host sends to the others.
-type message struct {
-	Seen []uint64
-	Work balance.Told
+func newPeers(self member, c clock.Clock, logger log.Interface, post func(balance.Event)) (*peers, error) {
+	p := &peers{
+		self: self, clock: c, logger: logger, post: post,
+		members: make(map[string]member), relays: newRelays(), collected: make(chan struct{}, 1),
+	}
+	transport, err := peer.New(peer.DefaultConfig(self.address), nil, p.receive, logger)
+	p.transport = transport
+	return p, err
 }
 
 // count is the number of other hosts.
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.addresses)
-}
-
-func newPeers(self, address string, logger log.Interface, post func(balance.Event)) (*peers, error) {
-	p := &peers{self: self, logger: logger, post: post, addresses: make(map[string]string)}
-	transport, err := peer.New(peer.DefaultConfig(address), nil, p.receive, logger)
-	p.transport = transport
-	return p, err
+	return len(p.members)
 }
 
 // listed takes over all registered hosts.
 func (p *peers) listed(objects []platform.Object) {
 	p.mu.Lock()
-	p.addresses = make(map[string]string, len(objects))
+	p.members = make(map[string]member, len(objects))
 	p.mu.Unlock()
 	p.changed(objects)
 }
@@ -79,8 +93,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range objects {
-		if o.Deleted || o.Name == p.self {
-			delete(p.addresses, o.Name)
+		if o.Deleted || o.Name == p.self.name {
+			delete(p.members, o.Name)
 			continue
 		}
 		var spec hostSpec
@@ -88,22 +102,100 @@
 			logevent.RegistrationUnreadable.Emit(p.logger, log.Fields{"name": o.Name, "revision": o.Revision, "error": err.Error()})
 			continue
 		}
-		p.addresses[o.Name] = spec.Address
+		p.members[o.Name] = member{name: o.Name, address: spec.Address, dataCentre: spec.DataCentre, power: spec.Power}
+	}
+	all := []member{p.self}
+	for _, m := range p.members {
+		all = append(all, m)
 	}
-	p.post(balance.PeersChanged{Others: len(p.addresses)})
+	p.relays.set(all)
+	p.post(balance.PeersChanged{Others: len(p.members)})
 }
 
-// tell sends a message to all other hosts.
+// tell sends this host's news to all others, itself or through a relay.
 func (p *peers) tell(m balance.Told) {
-	body, err := encode(message{Seen: p.seen(), Work: m})
-	if err != nil {
-		logevent.PeerMessageInvalid.Emit(p.logger, log.Fields{"address": "all", "error": err.Error()})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	items := []item{{Host: p.self.name, Told: m}}
+	if len(p.members) < directHosts {
+		p.sendMembers("", message{Stage: toMembers, Items: items})
+		return
+	}
+	p.sendRelay(p.self.dataCentre, message{Stage: fromOrigin, Items: items})
+}
+
+// sendMembers sends to all hosts of a data centre; empty means all.
+func (p *peers) sendMembers(dataCentre string, m message) {
+	body, ok := p.encode(m)
+	if !ok {
+		return
+	}
+	for _, to := range p.members {
+		if dataCentre == "" || to.dataCentre == dataCentre {
+			p.transport.Send(to.address, wire.Carried{Host: p.self.name, Topic: topicWork, Body: body})
+		}
+	}
+}
+
+// sendRelay sends to the relay of a data centre, which may be this host.
+func (p *peers) sendRelay(dataCentre string, m message) {
+	now := p.clock.Now()
+	to, ok := p.relays.choose(dataCentre, now)
+	if !ok {
 		return
 	}
+	if to.name == p.self.name {
+		p.collect(m)
+		return
+	}
+	body, ok := p.encode(m)
+	if !ok {
+		return
+	}
+	p.transport.Send(to.address, wire.Carried{Host: p.self.name, Topic: topicWork, Body: body})
+	p.relays.note(to.address, p.transport.Connected(to.address), now)
+}
+
+// collect adds a message to what this host passes on as a relay.
+func (p *peers) collect(m message) {
+	p.batch.add(m.Items, m.Stage)
+	select {
+	case p.collected <- struct{}{}:
+	default:
+	}
+}
+
+// relay passes on what was collected until the context ends.
+func (p *peers) relay(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.collected:
+		}
+		if !pause(ctx, relayInterval) {
+			return nil
+		}
+		p.passOn()
+	}
+}
+
+func (p *peers) passOn() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, address := range p.addresses {
-		p.transport.Send(address, wire.Carried{Host: p.self, Topic: topicWork, Body: body})
+	if p.batch.empty() {
+		return
+	}
+	b := p.batch
+	p.batch = batch{}
+	p.sendMembers(p.self.dataCentre, message{Stage: toMembers, Items: b.members})
+	if len(b.relays) == 0 {
+		return
+	}
+	for dataCentre := range p.relays.members {
+		if dataCentre != p.self.dataCentre {
+			p.sendRelay(dataCentre, message{Stage: betweenRelays, Items: b.relays})
+		}
 	}
 }
 
@@ -119,7 +211,26 @@
 		return
 	}
 	p.heard(m.Seen)
-	p.post(balance.PeerWork{Host: carried.Host, Message: m.Work})
+	for _, i := range m.Items {
+		if i.Host != p.self.name {
+			p.post(balance.PeerWork{Host: i.Host, Message: i.Told})
+		}
+	}
+	if m.Stage != toMembers {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.collect(m)
+	}
+}
+
+func (p *peers) encode(m message) ([]byte, bool) {
+	m.Seen = p.seen()
+	body, err := encode(m)
+	if err != nil {
+		logevent.PeerMessageInvalid.Emit(p.logger, log.Fields{"address": "all", "error": err.Error()})
+		return nil, false
+	}
+	return body, true
 }
 
 func encode(m message) ([]byte, error) {
@@ -129,11 +240,10 @@
 	encoder.UseArrayEncodedStructs(true)
 	encoder.UseCompactInts(true)
 	err := encoder.Encode(&m)
-	body := out.Bytes()
-	if err == nil && len(body) > wire.MaxBodyBytes {
-		err = errors.Errorf("%d bytes, at most %d can be sent", len(body), wire.MaxBodyBytes)
+	if err == nil && out.Len() > wire.MaxBodyBytes {
+		err = errors.Errorf("%d bytes, at most %d can be sent", out.Len(), wire.MaxBodyBytes)
 	}
-	return body, errors.Wrap(err, "encode work")
+	return out.Bytes(), errors.Wrap(err, "encode work")
 }
 
 func decode(body []byte) (message, error) {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -87,7 +87,7 @@
 	p.control = newControl(core, p.clock, logger, p.metrics)
 	p.beliefs = newBeliefs(p.clock, logger, p.control.post)
 	p.drain = &drain{clock: p.clock, grace: in.Grace}
-	p.peers, err = newPeers(in.Host, p.peerAddress(), logger, p.control.post)
+	p.peers, err = newPeers(p.self(), p.clock, logger, p.control.post)
 	if err != nil {
 		return nil, err
 	}
@@ -129,6 +129,12 @@
 	return (&net.TCPAddr{IP: net.ParseIP(in.IP), Port: in.PeerPorts[0]}).String()
 }
 
+// self is this host as the others know it.
+func (p *Process) self() member {
+	in := p.settings.surroundings
+	return member{name: in.Host, address: p.peerAddress(), dataCentre: in.DataCentre, power: in.ProcessorShare}
+}
+
 // readiness answers the balancer: ready once requests can be answered, until
 // the host stops.
 func (p *Process) readiness() http.Handler {
@@ -170,6 +176,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return p.control.run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.watchStore(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return p.peers.relay(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.reload(ctx) }, func(error) { cancel() })
 	g.Add(stop.OnSignal(nil, p.stop))
 	logevent.ProcessStarted.Emit(p.logger, log.Fields{
@@ -236,7 +243,7 @@
 	p.configuration = watch(platform.ConfigurationKind, configurationPace, configured, configured)
 	p.servers = watch(platform.ServersKind, serversPace, p.beliefs.serversListed, p.beliefs.serversChanged)
 	p.hosts = watch(hostsKind, hostsPace, p.peers.listed, p.peers.changed)
-	p.peers.seen = func() []uint64 { return []uint64{p.configuration.seen(), p.servers.seen()} }
+	p.peers.seen = func() []uint64 { return []uint64{p.configuration.known(), p.servers.known()} }
 	p.peers.heard = func(revisions []uint64) {
 		for i, w := range []*watcher{p.configuration, p.servers} {
 			if i < len(revisions) {
@@ -250,7 +257,9 @@
 func (p *Process) register(ctx context.Context) {
 	in := p.settings.surroundings
 	for {
-		err := p.store.Put(ctx, hostsKind, in.Host, hostSpec{Address: p.peerAddress(), Boot: p.boot})
+		err := p.store.Put(ctx, hostsKind, in.Host, hostSpec{
+			Address: p.peerAddress(), DataCentre: in.DataCentre, Power: in.ProcessorShare, Boot: p.boot,
+		})
 		if err == nil {
 			logevent.HostRegistered.Emit(p.logger, log.Fields{"host": in.Host, "address": p.peerAddress(), "boot": p.boot})
 			return
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// seen is the highest revision of the kind's objects seen here.
-func (w *watcher) seen() uint64 {
+// known is the highest revision of the kind's objects known of here.
+func (w *watcher) known() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.newest
+	return w.heard
 }
 
 func (w *watcher) note(objects []platform.Object) {
@@ -112,8 +112,10 @@
 func (w *watcher) watch(ctx context.Context, revision uint64) ([]platform.Object, uint64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w.mu.Lock()
+	// The number of hosts is read before the lock is taken: whoever holds that
+	// number's lock may ask for this watch's revision.
 	wait := w.wait()
+	w.mu.Lock()
 	if w.heard > w.newest {
 		// What the others have seen should be there already.
 		wait = minWatchWait
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -123,6 +123,14 @@
 	o.enqueue(m)
 }
 
+// Connected says whether a connection to the host is open.
+func (t *Transport) Connected(to string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.outbound[to]
+	return o != nil && o.connected.Load()
+}
+
 // retire ends the traffic to a host if nothing waits for it.
 func (t *Transport) retire(o *outbound) bool {
 	t.mu.Lock()
