--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -17,7 +17,9 @@
 	// waiting are requests without an upstream yet, in their order of service.
 	waiting []*request
 	budgets map[string]*budget
-	peers   map[string]*peer
+	// sites are the data centres by name.
+	sites map[string]*site
+	peers map[string]*peer
 	// others is the number of other hosts.
 	others int
 	// activity is the share of upstreams with work in the choice under way.
@@ -42,6 +44,7 @@
 		groups:    make(map[string]*group),
 		requests:  make(map[uint64]*request),
 		budgets:   make(map[string]*budget),
+		sites:     make(map[string]*site),
 		peers:     make(map[string]*peer),
 	}, nil
 }
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -12,6 +12,8 @@
 const (
 	// CodeNoUpstream: no registered server of the service takes requests.
 	CodeNoUpstream Code = "no_upstream"
+	// CodeUnreachable: this host reaches no server of the service.
+	CodeUnreachable Code = "upstreams_unreachable"
 	// CodeOverloaded: no room will come in time.
 	CodeOverloaded Code = "overloaded"
 	// CodeTooLarge: the prompt exceeds the memory of all servers together.
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -42,7 +42,7 @@
 	var fresh, again []*upstream
 	for _, u := range g.upstreams {
 		switch {
-		case !u.usable(now):
+		case !u.usable(now), now < c.site(u.DataCentre).avoidUntil:
 		case r.tried[u.ID]:
 			again = append(again, u)
 		default:
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -9,7 +9,11 @@
 
 // enqueue lets a request wait for room, or refuses it when none will come.
 func (c *Core) enqueue(r *request, now time.Duration) {
-	if code := c.hopeless(r); code != "" {
+	code := c.hopeless(r)
+	if code == "" && c.unreachable(r, now) {
+		code = CodeUnreachable
+	}
+	if code != "" {
 		r.lastCode = code
 		c.end(r, now)
 		return
@@ -104,6 +108,18 @@
 	c.waiting = append(still, c.waiting...)
 }
 
+// unreachable says whether no server of the request's service can be reached
+// from this host. Another host may reach them, so the caller is told at once.
+func (c *Core) unreachable(r *request, now time.Duration) bool {
+	for _, u := range c.groups[r.Service].upstreams {
+		cut := u.backoff > 0 && now < u.avoidUntil || now < c.site(u.DataCentre).avoidUntil
+		if !u.Leaving && !cut {
+			return false
+		}
+	}
+	return true
+}
+
 // refuse answers a request that was not run.
 func (c *Core) refuse(r *request, code Code, now time.Duration) {
 	delete(c.requests, r.Number)
@@ -121,6 +137,8 @@
 		return 0
 	case CodeNoUpstream:
 		return emptyRetryAfter
+	case CodeUnreachable:
+		return minRetryAfter
 	}
 	soonest := maxRetryAfter
 	if g := c.groups[r.Service]; g != nil {
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -262,7 +262,12 @@
 			culprit = u
 		}
 	}
-	c.judge(culprit, e.Class, now)
+	seen := e.Class
+	if culprit != r.members[0] {
+		// The server asked could not work with this one.
+		seen = NotConnected
+	}
+	c.judge(culprit, seen, now)
 	r.tried[culprit.ID] = true
 	c.endAttempt(r, e.Class, now)
 	if e.Class.ran() {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -82,6 +82,55 @@
 	}
 }
 
+// site is what requests showed of the way to one data centre.
+type site struct {
+	// unreached are upstreams that could not be connected to since the last
+	// answer from there, with the time.
+	unreached map[string]time.Duration
+	// avoidUntil passes over the whole data centre.
+	avoidUntil time.Duration
+}
+
+// unreachedBound is how many upstreams must be out of reach at the same time
+// for their data centre to count as cut off; a single one has just crashed.
+const unreachedBound = 2
+
+const (
+	// unreachedWindow is the time within which they count together.
+	unreachedWindow = 1500 * time.Millisecond
+	// siteBackoff is the pause between two tries to reach a data centre.
+	siteBackoff = time.Second
+)
+
+func (c *Core) site(dataCentre string) *site {
+	s := c.sites[dataCentre]
+	if s == nil {
+		s = &site{unreached: make(map[string]time.Duration)}
+		c.sites[dataCentre] = s
+	}
+	return s
+}
+
+// noteReach notes whether an upstream was reached, and so its data centre.
+func (c *Core) noteReach(u *upstream, reached bool, now time.Duration) {
+	s := c.site(u.DataCentre)
+	if reached {
+		clear(s.unreached)
+		s.avoidUntil = 0
+		return
+	}
+	s.unreached[u.ID] = now
+	for id, at := range s.unreached {
+		if now-at > unreachedWindow {
+			delete(s.unreached, id)
+		}
+	}
+	if len(s.unreached) >= unreachedBound && now >= s.avoidUntil {
+		s.avoidUntil = now + siteBackoff
+		c.emit(UpstreamJudged{Upstream: u.DataCentre, Belief: "data centre passed over", Cause: "upstreams out of reach", Seen: float64(len(s.unreached))})
+	}
+}
+
 // usable says whether new requests may be sent there.
 func (u *upstream) usable(now time.Duration) bool {
 	return !u.Leaving && now >= u.avoidUntil
@@ -160,6 +209,7 @@
 
 // judge notes how an attempt at an upstream ended, here or at another host.
 func (c *Core) judge(u *upstream, class Class, now time.Duration) {
+	c.noteReach(u, class != NotConnected, now)
 	if class == "" {
 		u.good(now)
 		return
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -40,6 +40,9 @@
 	configurationPace = 250 * time.Millisecond
 	serversPace       = 500 * time.Millisecond
 	hostsPace         = 2 * time.Second
+	// pacedHosts is the number of hosts that doubles these pauses, since each
+	// host makes the calls.
+	pacedHosts = 64
 	// minStoreBackoff and maxStoreBackoff bound the pause after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
@@ -193,7 +196,7 @@
 	w.note(changes)
 	if len(changes) > 0 {
 		w.change(changes)
-		pause(ctx, w.pace)
+		pause(ctx, w.pace+w.pace*time.Duration(w.others())/pacedHosts)
 	}
 	return next, nil
 }
