--- a/internal/host/page_test.go
+++ b/internal/host/page_test.go
@@ -12,7 +12,7 @@
 // TestOperatingPageListsSettings compares the router's table with the flags,
 // in both directions and in order.
 func TestOperatingPageListsSettings(t *testing.T) {
-	text, err := os.ReadFile("../../docs/OPERATING.md")
+	text, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,55 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestTheLongestPrefixWins(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(Declaration{Version: 3, Routes: []Route{
+		{Name: "short", Host: "h", Prefix: "/a/"},
+		{Name: "long", Host: "h", Prefix: "/a/b/"},
+		{Name: "other", Host: "g", Prefix: "/"},
+	}})
+	g.Expect(table.Find("h", "/a/b/c").Name).To(Equal("long"))
+	g.Expect(table.Find("h", "/a/bc").Name).To(Equal("short"))
+	g.Expect(table.Find("h", "/a")).To(BeNil())
+	g.Expect(table.Find("h", "/b/")).To(BeNil())
+	g.Expect(table.Find("g", "/a/").Name).To(Equal("other"))
+	g.Expect(table.Keyed()).To(BeFalse())
+}
+
+func TestKeysNameTheirHolder(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(Declaration{Organisations: []Organisation{{Name: "o1", Keys: []string{"k1", "k2"}}, {Name: "o2"}}})
+	g.Expect(table.Keyed()).To(BeTrue())
+	g.Expect(table.Holder("k2").Name).To(Equal("o1"))
+	g.Expect(table.Holder("")).To(BeNil())
+}
+
+// TestSharesAreKept counts the services of many requests.
+func TestSharesAreKept(t *testing.T) {
+	g := NewWithT(t)
+	r := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	count := make(map[string]int)
+	const requests = 10000
+	for i := range requests {
+		id := fmt.Sprint("request", i)
+		count[r.Choose(id)]++
+		g.Expect(r.Choose(id)).To(Equal(r.Choose(id)))
+	}
+	g.Expect(float64(count["b"]) / requests).To(BeNumerically("~", 0.1, 0.02))
+	g.Expect(count["c"]).To(BeZero())
+	g.Expect((&Route{}).Choose("x")).To(BeEmpty())
+}
+
+func TestOnlySafeAndResumableMayBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&Route{Kind: Safe}).Repeatable()).To(BeTrue())
+	g.Expect((&Route{Kind: Stream, Resumable: true}).Repeatable()).To(BeTrue())
+	g.Expect((&Route{Kind: Stream}).Repeatable()).To(BeFalse())
+	g.Expect((&Route{Kind: Unsafe, Resumable: true}).Repeatable()).To(BeFalse())
+}
