--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -13,6 +13,7 @@
 	const length = 12 * time.Second
 	w.traffic(random, shortRoute, shorts, 4960, 0.9, 1300, length)
 	w.traffic(random, bookRoute, books, 133000, 0.55, 650, length)
+	w.traffic(random, threadRoute, books/2, 45000, 0.5, 800, length)
 	w.run(length + 16*time.Second)
 	return w
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -21,8 +21,10 @@
 	g := NewWithT(t)
 	r := newRelays()
 	r.set([]member{
-		{name: "c", address: "c", dataCentre: "a", power: 0.2}, {name: "b", address: "b", dataCentre: "a", power: 0.8},
-		{name: "a", address: "a", dataCentre: "a", power: 0.8}, {name: "d", address: "d", dataCentre: "b", power: 1},
+		{name: "c", address: "c", dataCentre: "a", power: 0.2},
+		{name: "b", address: "b", dataCentre: "a", power: 0.8},
+		{name: "a", address: "a", dataCentre: "a", power: 0.8},
+		{name: "d", address: "d", dataCentre: "b", power: 1},
 	})
 	choose := func(now time.Duration) string {
 		m, ok := r.choose("a", now)
