--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -143,8 +143,9 @@
 	})
 }
 
-// retryAfter is when coming back can help: when the queue ahead is expected to
-// be served, at the pace of one request per slot and mean answer.
+// retryAfter is when coming back can help: when the reading ahead is done, and
+// not sooner than the time for which there was no room, which is the best
+// estimate of how long there will be none.
 func (c *Core) retryAfter(r *request, code Code, now time.Duration) time.Duration {
 	switch code {
 	case CodeTooLarge:
@@ -163,5 +164,5 @@
 			soonest = min(soonest, max(u.backlog(now), u.avoidUntil-now))
 		}
 	}
-	return min(maxRetryAfter, max(minRetryAfter, soonest))
+	return min(maxRetryAfter, max(minRetryAfter, soonest, now-r.queuedAt))
 }
