Do not take callers that leave for answers of their server

Cause: found by reading. A request whose caller left was told to the other hosts as ended without a failure, which they counted as an answer: a server out of reach counted as reached again.

Change: such ends have a class of their own and are not judged. The test fails without it.

--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -53,6 +53,8 @@
 	Lost Class = "lost"
 	// Silent: it was sent and nothing came for too long; it may be running.
 	Silent Class = "silent"
+	// Abandoned: the caller left, which says nothing about the upstream.
+	Abandoned Class = "abandoned"
 	// Failed: the upstream ran it and answered with a failure.
 	Failed Class = "failed"
 )
--- a/internal/balance/faults_test.go
+++ b/internal/balance/faults_test.go
@@ -169,3 +169,25 @@
 		t.Errorf("%d works of the host's earlier process are left", got)
 	}
 }
+
+// TestCallersThatLeaveProveNothing has callers leave at a server that is out of
+// reach. Other hosts once took that for answers of the server.
+func TestCallersThatLeaveProveNothing(t *testing.T) {
+	here, there := newFaultCore(t), newFaultCore(t)
+	here.Step(0, PeersChanged{Others: 1})
+	s := sent(here.Step(0, arrival(1, shortRoute, "llm", 5000, 0)))
+	var news []Told
+	for _, e := range append(here.Step(time.Second, CallerGone{Number: 1}), here.Step(time.Second, Tick{})...) {
+		if tell, ok := e.(Tell); ok {
+			news = append(news, tell.Message)
+		}
+	}
+	u := there.upstreams[s.Members[0].Upstream]
+	there.judge(u, NotConnected, time.Second)
+	for _, m := range news {
+		there.Step(time.Second, PeerWork{Host: "here", Message: m})
+	}
+	if u.usable(time.Second) {
+		t.Error("the server counts as reached again")
+	}
+}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -13,7 +13,7 @@
 	weight  float64
 
 	attempt int
-	// runs counts attempts that may have run; notRun is true while none may.
+	// runs counts attempts that may have run.
 	runs    int
 	tried   map[string]bool
 	members []*upstream
@@ -318,7 +318,7 @@
 		return
 	}
 	if len(r.members) > 0 {
-		c.endAttempt(r, "", now)
+		c.endAttempt(r, Abandoned, now)
 	}
 	delete(c.requests, r.Number)
 	c.unqueue(r)
--- a/internal/balance/told.go
+++ b/internal/balance/told.go
@@ -68,7 +68,7 @@
 	}
 	for _, e := range m.Ended {
 		c.dropWork(taskKey{host, e.Number}, now)
-		if u := c.upstreams[e.Upstream]; u != nil {
+		if u := c.upstreams[e.Upstream]; u != nil && e.Class != Abandoned {
 			c.judge(u, e.Class, now)
 		}
 	}
