Keep the wire's names of the gateway's tests in the stand-in

Cause: two test files outside platform/ spelled headers and configuration fields of the wire. Ruled out: nothing; found by a search for the names. Change: platform/standin writes the tests' configuration and names the headers. No check, bound or product code changed.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,7 +15,7 @@
 
 var (
 	key    = []string{"Authorization", "Token k1"}
-	prompt = []string{"Authorization", "Token k1", "Token-Usage", "1000,50", "Model", "m", "Deadline-Ms", "5000"}
+	prompt = []string{"Authorization", "Token k1", standin.HeaderUsage, "1000,50", "Model", "m", "Deadline-Ms", "5000"}
 )
 
 func with(headers []string, more ...string) []string {
@@ -42,7 +42,7 @@
 	g.Expect([]string{got.Header.Get("Tenant"), got.Header.Get("Authorization"), got.Header.Get("X-Own")}).To(Equal([]string{"t1", "", "1"}))
 	r = h.ask("POST", "/s/", "p", with(prompt, "Request-Id", "r2")...)
 	g.Expect(r.body).To(Equal(wholeStream(5)))
-	g.Expect(r.header.Get("Response-Signature")).To(HavePrefix("i-e"))
+	g.Expect(r.header.Get(standin.HeaderSignature)).To(HavePrefix("i-e"))
 	g.Expect(received(engines)).To(Equal(1))
 }
 
@@ -121,7 +121,7 @@
 	h, _, _, desks := setUp(t)
 	setFault(desks, standin.Failing)
 	r := h.ask("POST", "/u/", "b", with(key, "Request-Id", "r1")...)
-	g.Expect([]any{r.status, r.header.Get("Response-Signature") != "", received(desks)}).To(Equal([]any{500, true, 1}))
+	g.Expect([]any{r.status, r.header.Get(standin.HeaderSignature) != "", received(desks)}).To(Equal([]any{500, true, 1}))
 	r = h.ask("GET", "/g/", "", with(key, "Request-Id", "r2")...)
 	g.Expect([]any{r.status, received(desks)}).To(Equal([]any{500, 3}))
 }
@@ -190,13 +190,13 @@
 func TestPromptLargerThanAServer(t *testing.T) {
 	g := NewWithT(t)
 	h, _, engines, _ := setUp(t)
-	r := h.ask("POST", "/s/", "p", with(key, "Request-Id", "r1", "Token-Usage", "150000,50")...)
+	r := h.ask("POST", "/s/", "p", with(key, "Request-Id", "r1", standin.HeaderUsage, "150000,50")...)
 	g.Expect(r.body).To(Equal(wholeStream(5)))
 	got := append(engines[0].Received(), engines[1].Received()...)
 	g.Expect(got).To(HaveLen(1))
 	g.Expect(strings.Split(got[0].Header.Get("Helpers"), ",")).To(HaveLen(2))
 	h.await(func() bool { return engines[0].Tickets()+engines[1].Tickets() == 0 }, "all memory given back")
-	r = h.ask("POST", "/s/", "p", with(key, "Request-Id", "r2", "Token-Usage", "500000,50")...)
+	r = h.ask("POST", "/s/", "p", with(key, "Request-Id", "r2", standin.HeaderUsage, "500000,50")...)
 	g.Expect(r.status).To(Equal(http.StatusServiceUnavailable), "what no wait can serve is refused")
 }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -184,30 +184,12 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(content), closes: response.Close, broken: err}
 }
 
-// declare writes a configuration with streams, unsafe and safe calls.
-func declare(store *standin.Store, version int, keys ...string) {
-	routes := []map[string]any{
-		{"name": "stream", "host": "a.example", "pathPrefix": "/s/", "routeType": "streaming", "timeoutMs": 5000, "targetLatencyMs": 300, "service": "llm", "maxAttempts": 2, "streamResume": true, "gapAimMs": 250},
-		{"name": "once", "host": "a.example", "pathPrefix": "/u/", "routeType": "unsafe", "timeoutMs": 1000, "targetLatencyMs": 120, "service": "desk", "maxAttempts": 1},
-		{"name": "often", "host": "a.example", "pathPrefix": "/g/", "routeType": "safe", "timeoutMs": 1000, "targetLatencyMs": 120, "service": "desk", "maxAttempts": 2},
-	}
-	store.Put("config", "main", map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": 16, "kvCapacity": 100000, "stride": 10, "step_ms": 1, "read_per_s": 200000, "pairs_per_m": 0.1, "chunk": 2048}},
-			{"name": "desk"},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "t1", "apiKeys": keys}},
-	})
-}
-
 // setUp starts a store, two servers of each service and one host.
 func setUp(t *testing.T) (h *played, store *standin.Store, engines, desks []*standin.Server) {
 	t.Helper()
 	store = standin.NewStore()
 	t.Cleanup(store.Close)
-	declare(store, 1, "k1")
+	store.Declare(1, "k1")
 	server := func(id, service string) *standin.Server {
 		s := standin.NewServer(id)
 		t.Cleanup(s.Close)
