Reproduce changes that are lost after the store was restored

Two tests restore the stand-in store from an older copy and fail on the present code: in a fleet of 20 hosts the followers keep the lost history (host 3: 31 objects instead of 2 after 2 s), and a host whose watch continues in the new history never sees a configuration written below its old revision (5.4 s).

--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -230,3 +230,31 @@
 	second.replaceMembers(nil)
 	g.Expect(second.selfRemoved).To(Receive(), "a list without its entry")
 }
+
+// TestFollowersGetChangesAfterTheStoreWasRestored guards against hosts that drop
+// a restored store's changes because their revisions were seen before.
+func TestFollowersGetChangesAfterTheStoreWasRestored(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("k", "first", 0)
+	all, _ := startFleet(t, store, 20)
+	awaitCount := func(n int) {
+		t.Helper()
+		for i, w := range all {
+			g.Eventually(w.count, applyBound).Should(Equal(n), "host %d", i)
+		}
+	}
+	awaitCount(1)
+	copied := store.Copy()
+	const lost = 30
+	for i := range lost {
+		store.Put("k", fmt.Sprint("lost-", i), 0)
+	}
+	awaitCount(1 + lost)
+	time.Sleep(2 * minWatchWait)
+	store.Restore(copied)
+	time.Sleep(minWatchWait)
+	store.Put("k", "later", 0)
+	awaitCount(2)
+}
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -81,6 +81,31 @@
 	g.Expect(time.Since(changed)).To(BeNumerically("<", applyBound), "%s", h.logs)
 }
 
+// TestChangeBelowAKnownRevisionIsAppliedAfterARestore guards against a watch that
+// continues in a restored store from a revision of the lost history.
+func TestChangeBelowAKnownRevisionIsAppliedAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	h, store, _, _ := setUp(t)
+	copied := store.Copy()
+	const lost = 20
+	for i := range lost {
+		store.Put("other", "x", i)
+	}
+	store.PutConfiguration(2, "k2")
+	h.await(func() bool { return h.allowsKey("r1", "k2") }, "the second configuration in force")
+	store.SetDown(true)
+	h.await(func() bool { return h.logs.hasEvent(7040) }, "a log line on the outage")
+	store.Restore(copied)
+	store.PutConfiguration(3, "k3")
+	for i := range 2 * lost {
+		store.Put("other", "x", i)
+	}
+	store.SetDown(false)
+	changed := time.Now()
+	h.await(func() bool { return h.allowsKey("r2", "k3") }, "the third configuration in force")
+	g.Expect(time.Since(changed)).To(BeNumerically("<", applyBound), "%s", h.logs)
+}
+
 // TestUnreadableConfigurationKeepsTheLastGoodOne writes objects into the store
 // that can't be decoded, and then an older and a newer configuration.
 func TestUnreadableConfigurationKeepsTheLastGoodOne(t *testing.T) {
