Order the store's revisions within eras only

Cause: hosts ordered what they know by the store's bare revision. A store that is restored from an older copy goes back and gives the same revisions out again. In a fleet of more than 16 hosts the followers then dropped every forwarded update as old, and went on relying on the host that sent it; a host whose watch began at a revision that the restored store had passed again missed the changes below it; and lower revisions never made another host look.

A revision is now an era and a number, and is newer than all revisions of earlier eras. Messages between hosts carry the era after the known revisions, where hosts of an earlier release ignore it, so every host reads its lists again as soon as one has met the era; a host that has not met it yet is not relied on.

go test -race of platform and gateway passed.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -43,12 +43,13 @@
 // order of its fields is part of the format.
 type message struct {
 	Stage stage
-	// KnownRevisions are the newest revisions of the store's kinds that the
-	// sender knows of, in an order that is the same on all hosts.
+	// KnownRevisions are the numbers of the newest revisions of the store's kinds
+	// that the sender knows of, in an order that is the same on all hosts, and
+	// then the newest era of the store that it knows of; see encodeRevisions.
 	KnownRevisions []uint64
 	Reports        []hostReport
 	// StoreUpdates are answers of the store that the sender forwards.
-	StoreUpdates []storeUpdate
+	StoreUpdates []forwardedUpdate
 }
 
 // peers holds the other hosts and exchanges messages with them.
@@ -61,8 +62,8 @@
 	// knownRevisions returns the newest revisions of the store's kinds that are
 	// known here, in an order that is the same on all hosts. recordRevisions
 	// records those that another host knows.
-	knownRevisions  func() []uint64
-	recordRevisions func([]uint64)
+	knownRevisions  func() []platform.Revision
+	recordRevisions func([]platform.Revision)
 	// applyUpdate applies an answer of the store that another host forwarded.
 	applyUpdate func(storeUpdate)
 
@@ -130,7 +131,7 @@
 		}
 		var spec hostSpec
 		if err := json.Unmarshal(o.Spec, &spec); err != nil {
-			logevent.RegistrationUnreadable.Emit(p.logger, log.Fields{"name": o.Name, "revision": o.Revision, "error": err.Error()})
+			logevent.RegistrationUnreadable.Emit(p.logger, log.Fields{"name": o.Name, "revision": o.Revision.Number, "error": err.Error()})
 			continue
 		}
 		p.members[o.Name] = member{
@@ -291,10 +292,12 @@
 		logevent.PeerRefused.Emit(p.logger, log.Fields{"remote": remote, "error": err.Error()})
 		return
 	}
-	p.recordRevisions(m.KnownRevisions)
-	p.recordReceipt(carried.Host, m)
+	known := p.knownRevisions()
+	revisions, era := decodeRevisions(m.KnownRevisions, len(known))
+	p.recordRevisions(revisions)
+	p.recordReceipt(carried.Host, m, era >= newestEra(known))
 	for _, update := range m.StoreUpdates {
-		p.applyUpdate(update)
+		p.applyUpdate(update.decode(era))
 	}
 	for _, report := range m.Reports {
 		if report.Host != p.self.name {
@@ -309,8 +312,9 @@
 }
 
 // recordReceipt records which hosts a message shows to be alive, and whether
-// its sender watches the store for this host.
-func (p *peers) recordReceipt(sender string, received message) {
+// its sender watches the store for this host. A sender that does not know of the
+// store's current era yet can't be relied on.
+func (p *peers) recordReceipt(sender string, received message, currentEra bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -320,7 +324,7 @@
 			p.members[report.Host] = m
 		}
 	}
-	if len(received.StoreUpdates) == 0 {
+	if len(received.StoreUpdates) == 0 || !currentEra {
 		return
 	}
 	rank := p.relays.rank(p.self.dataCentre, sender)
@@ -329,10 +333,48 @@
 	}
 }
 
+// newestEra returns the latest era among revisions.
+func newestEra(revisions []platform.Revision) uint64 {
+	newest := uint64(0)
+	for _, r := range revisions {
+		newest = max(newest, r.Era)
+	}
+	return newest
+}
+
+// encodeRevisions returns the form of revisions in a message: their numbers, and
+// then the newest era among them. The number is 0 for a revision of an earlier
+// era. Hosts of an earlier release send no era, and ignore it.
+func encodeRevisions(revisions []platform.Revision) []uint64 {
+	era := newestEra(revisions)
+	encoded := make([]uint64, 0, len(revisions)+1)
+	for _, r := range revisions {
+		if r.Era < era {
+			r.Number = 0
+		}
+		encoded = append(encoded, r.Number)
+	}
+	return append(encoded, era)
+}
+
+// decodeRevisions returns the revisions of the given number of kinds that a
+// message holds, and their era.
+func decodeRevisions(encoded []uint64, kinds int) ([]platform.Revision, uint64) {
+	era := uint64(0)
+	if len(encoded) > kinds {
+		era = encoded[kinds]
+	}
+	revisions := make([]platform.Revision, min(kinds, len(encoded)))
+	for i := range revisions {
+		revisions[i] = platform.Revision{Era: era, Number: encoded[i]}
+	}
+	return revisions, era
+}
+
 // encodeMessage adds the revisions known here to a message and encodes it. It
 // returns false, and logs the reason, if the message can't be sent.
 func (p *peers) encodeMessage(m message) ([]byte, bool) {
-	m.KnownRevisions = p.knownRevisions()
+	m.KnownRevisions = encodeRevisions(p.knownRevisions())
 	body, err := marshalMessage(m)
 	if err != nil {
 		logevent.PeerMessageInvalid.Emit(p.logger, log.Fields{"address": "all", "error": err.Error()})
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -300,15 +300,19 @@
 			watchers[update.KindIndex].applyUpdate(update)
 		}
 	}
-	p.peers.knownRevisions = func() []uint64 {
-		return []uint64{p.configurationWatcher.newestKnownRevision(), p.serversWatcher.newestKnownRevision()}
+	reported := []*watcher{p.configurationWatcher, p.serversWatcher}
+	p.peers.knownRevisions = func() []platform.Revision {
+		revisions := make([]platform.Revision, len(reported))
+		for i, w := range reported {
+			revisions[i] = w.newestKnownRevision()
+		}
+		return revisions
 	}
-	p.peers.recordRevisions = func(revisions []uint64) {
-		for i, w := range []*watcher{p.configurationWatcher, p.serversWatcher} {
-			if i < len(revisions) {
-				w.recordPeerRevision(revisions[i])
-			}
+	p.peers.recordRevisions = func(revisions []platform.Revision) {
+		for i, w := range reported[:min(len(reported), len(revisions))] {
+			w.recordPeerRevision(revisions[i])
 		}
+		p.hostsWatcher.recordPeerRevision(platform.Revision{Era: newestEra(revisions)})
 	}
 }
 
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -69,7 +69,7 @@
 func (p *Process) removeOwnEntry() {
 	ctx, cancel := context.WithTimeout(context.Background(), registerRetryInterval)
 	defer cancel()
-	if err := p.store.Delete(ctx, hostsKind, p.settings.platformSettings.Host, 0); err != nil {
+	if err := p.store.Delete(ctx, hostsKind, p.settings.platformSettings.Host, platform.Revision{}); err != nil {
 		logevent.HostNotRegistered.Emit(p.logger, log.Fields{"host": p.settings.platformSettings.Host, "error": err.Error()})
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutline/chestnutline/internal/balance"
+	"github.com/chestnutline/chestnutline/platform"
 )
 
 const (
@@ -73,7 +74,7 @@
 	processorShare float64
 	// revision is the revision of the host's entry in the store, and
 	// lastReceived is when a message last showed that the host is alive.
-	revision     uint64
+	revision     platform.Revision
 	lastReceived time.Duration
 }
 
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -76,8 +76,8 @@
 		self := member{name: fmt.Sprintf("h%02d", i), address: freeAddress(t), dataCentre: fmt.Sprint("dc", i%2), processorShare: 0.2}
 		p, err := newPeers(self, clock.Start(), &log.Logger{Handler: discard.New()}, recorder.post)
 		g.Expect(err).NotTo(HaveOccurred())
-		p.knownRevisions = func() []uint64 { return nil }
-		p.recordRevisions = func([]uint64) {}
+		p.knownRevisions = func() []platform.Revision { return nil }
+		p.recordRevisions = func([]platform.Revision) {}
 		p.applyUpdate = func(storeUpdate) {}
 		servePeers(t, p)
 		all, recorders = append(all, p), append(recorders, recorder)
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/apex/log"
@@ -30,10 +31,46 @@
 	// KindIndex is the position of the kind in an order that is the same on all
 	// hosts.
 	KindIndex int
-	From, To  uint64
+	From, To  platform.Revision
 	Objects   []platform.Object
 }
 
+// forwardedUpdate is a storeUpdate in a message. Its revisions are of the era that
+// the message names. It is encoded as an array of a fixed length, which hosts of
+// an earlier release can read too.
+type forwardedUpdate struct {
+	KindIndex int
+	From, To  uint64
+	Objects   []forwardedObject
+}
+
+// forwardedObject is one changed object in a forwardedUpdate.
+type forwardedObject struct {
+	Name     string
+	Revision uint64
+	Spec     json.RawMessage
+	Deleted  bool
+}
+
+// encodeUpdate returns the form of an update in a message.
+func encodeUpdate(update storeUpdate) forwardedUpdate {
+	encoded := forwardedUpdate{KindIndex: update.KindIndex, From: update.From.Number, To: update.To.Number}
+	for _, o := range update.Objects {
+		encoded.Objects = append(encoded.Objects, forwardedObject{Name: o.Name, Revision: o.Revision.Number, Spec: o.Spec, Deleted: o.Deleted})
+	}
+	return encoded
+}
+
+// decode returns the update that a message of the given era holds.
+func (f forwardedUpdate) decode(era uint64) storeUpdate {
+	revision := func(number uint64) platform.Revision { return platform.Revision{Era: era, Number: number} }
+	update := storeUpdate{KindIndex: f.KindIndex, From: revision(f.From), To: revision(f.To)}
+	for _, o := range f.Objects {
+		update.Objects = append(update.Objects, platform.Object{Name: o.Name, Revision: revision(o.Revision), Spec: o.Spec, Deleted: o.Deleted})
+	}
+	return update
+}
+
 // watchGroup connects a watcher with the hosts of a data centre that watch the
 // store for each other.
 type watchGroup interface {
@@ -51,12 +88,7 @@
 // instead of watching the store itself. For that it must have read a list, and
 // no changes may be missing.
 func (w *watcher) shouldFollow() bool {
-	if w.group == nil || !w.group.receivesUpdates() {
-		return false
-	}
-	w.applyMu.Lock()
-	defer w.applyMu.Unlock()
-	return w.appliedRevision != 0 && !w.changesMissing
+	return w.group != nil && w.group.receivesUpdates() && !w.resumeRevision().IsZero()
 }
 
 // logFollowing logs when another host begins to watch the store for this one,
@@ -69,16 +101,18 @@
 	w.applyMu.Lock()
 	revision := w.appliedRevision
 	w.applyMu.Unlock()
-	logevent.StoreWatchDelegated.Emit(w.logger, log.Fields{"kind": w.kind, "following": following, "revision": revision})
+	logevent.StoreWatchDelegated.Emit(w.logger, log.Fields{"kind": w.kind, "following": following, "revision": revision.Number})
 }
 
-// resumeRevision returns the revision after which the next watch continues; 0
-// if the whole list must be read.
-func (w *watcher) resumeRevision() uint64 {
+// resumeRevision returns the revision after which the next watch continues; the
+// zero revision if the whole list must be read, because none was read yet,
+// changes are missing, or the store has begun a new era.
+func (w *watcher) resumeRevision() platform.Revision {
+	newestKnown := w.newestKnownRevision()
 	w.applyMu.Lock()
 	defer w.applyMu.Unlock()
-	if w.changesMissing {
-		return 0
+	if w.changesMissing || w.appliedRevision.Era < newestKnown.Era {
+		return platform.Revision{}
 	}
 	return w.appliedRevision
 }
@@ -87,21 +121,24 @@
 func (w *watcher) requireList() {
 	w.applyMu.Lock()
 	defer w.applyMu.Unlock()
-	w.appliedRevision = 0
+	w.appliedRevision = platform.Revision{}
 }
 
 // applyList applies a complete list, unless later changes have been applied
 // already.
-func (w *watcher) applyList(objects []platform.Object, revision uint64) {
-	w.recordRevisions(objects)
+func (w *watcher) applyList(objects []platform.Object, revision platform.Revision) {
+	w.recordRevisions(objects, revision.Era)
 	w.applyMu.Lock()
 	defer w.applyMu.Unlock()
-	if revision < w.appliedRevision {
+	if revision.Before(w.appliedRevision) {
 		w.countDropped()
 		return
 	}
-	if revision < w.lastListRevision {
-		logevent.StoreWentBack.Emit(w.logger, log.Fields{"kind": w.kind, "revision_before": w.lastListRevision, "revision": revision})
+	if revision.Number < w.lastListRevision.Number {
+		logevent.StoreWentBack.Emit(w.logger, log.Fields{
+			"kind": w.kind, "era_before": w.lastListRevision.Era, "era": revision.Era,
+			"revision_before": w.lastListRevision.Number, "revision": revision.Number,
+		})
 	}
 	w.lastListRevision = revision
 	w.onList(objects)
@@ -110,12 +147,12 @@
 
 // applyChanges applies all changes up to a revision, unless they have been
 // applied already.
-func (w *watcher) applyChanges(changes []platform.Object, to uint64) {
-	w.recordRevisions(changes)
+func (w *watcher) applyChanges(changes []platform.Object, to platform.Revision) {
+	w.recordRevisions(changes, to.Era)
 	w.applyMu.Lock()
 	defer w.applyMu.Unlock()
-	if to <= w.appliedRevision {
-		if to < w.appliedRevision {
+	if !w.appliedRevision.Before(to) {
+		if to.Before(w.appliedRevision) {
 			w.countDropped()
 		}
 		return
@@ -133,14 +170,16 @@
 }
 
 // applyUpdate applies an update that another host forwarded. If changes before
-// it are missing here, the update is applied all the same, and the whole list
-// is read again. Before the first list, only its revisions are recorded.
+// it are missing here, as they always are when a new era begins, the update is
+// applied all the same, and the whole list is read again. Before the first list, only its revisions are recorded.
 func (w *watcher) applyUpdate(update storeUpdate) {
 	w.applyMu.Lock()
-	gap := update.From > w.appliedRevision
-	if gap && w.appliedRevision != 0 {
+	gap := w.appliedRevision.Before(update.From)
+	if gap && !w.appliedRevision.IsZero() {
 		if !w.changesMissing {
-			logevent.ChangesMissed.Emit(w.logger, log.Fields{"kind": w.kind, "revision": w.appliedRevision, "from": update.From, "to": update.To})
+			logevent.ChangesMissed.Emit(w.logger, log.Fields{
+				"kind": w.kind, "revision": w.appliedRevision.Number, "from": update.From.Number, "to": update.To.Number, "era": update.To.Era,
+			})
 		}
 		w.changesMissing = true
 		if len(update.Objects) > 0 {
@@ -149,7 +188,7 @@
 	}
 	w.applyMu.Unlock()
 	if gap {
-		w.recordRevisions(update.Objects)
+		w.recordRevisions(update.Objects, update.To.Era)
 		return
 	}
 	w.applyChanges(update.Objects, update.To)
@@ -217,14 +256,18 @@
 }
 
 // forward implements watchGroup. Only the hosts that may watch for their data
-// centre forward the store's answers to its other hosts.
+// centre forward the store's answers to its other hosts. An answer of an earlier
+// era than this host knows of by now is not forwarded.
 func (p *peers) forward(update storeUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.members) < maxDirectHosts || p.relays.rank(p.self.dataCentre, p.self.name) >= relayCandidates {
 		return
 	}
-	p.sendToMembers(p.self.dataCentre, message{Stage: toMembers, StoreUpdates: []storeUpdate{update}})
+	if update.To.Era < newestEra(p.knownRevisions()) {
+		return
+	}
+	p.sendToMembers(p.self.dataCentre, message{Stage: toMembers, StoreUpdates: []forwardedUpdate{encodeUpdate(update)}})
 }
 
 // otherWatchers returns the number of other hosts that watch the store
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/clock"
@@ -56,8 +58,11 @@
 	return len(w.known)
 }
 
+// at returns a revision of a store that names no eras.
+func at(number uint64) platform.Revision { return platform.Revision{Number: number} }
+
 func object(name string, revision uint64) platform.Object {
-	return platform.Object{Name: name, Revision: revision, Spec: json.RawMessage(`1`)}
+	return platform.Object{Name: name, Revision: at(revision), Spec: json.RawMessage(`1`)}
 }
 
 // newTestWatcher returns a watcher of the kind k that is in no watchGroup.
@@ -73,20 +78,20 @@
 func TestForwardedUpdatesAreAppliedInOrder(t *testing.T) {
 	g := NewWithT(t)
 	w := newTestWatcher(nil)
-	w.applyUpdate(storeUpdate{From: 1, To: 5, Objects: []platform.Object{object("early", 5)}})
+	w.applyUpdate(storeUpdate{From: at(1), To: at(5), Objects: []platform.Object{object("early", 5)}})
 	g.Expect(w.resumeRevision()).To(BeZero(), "without a list, an update does not set a revision")
-	w.applyList([]platform.Object{object("a", 8)}, 10)
-	w.applyUpdate(storeUpdate{From: 9, To: 12, Objects: []platform.Object{object("b", 12)}})
-	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{2, uint64(12)}))
-	w.applyUpdate(storeUpdate{From: 8, To: 11, Objects: []platform.Object{{Name: "b", Revision: 11, Deleted: true}}})
-	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{2, uint64(12)}), "an older update changes nothing")
-	w.applyUpdate(storeUpdate{From: 15, To: 16, Objects: []platform.Object{object("c", 16)}})
+	w.applyList([]platform.Object{object("a", 8)}, at(10))
+	w.applyUpdate(storeUpdate{From: at(9), To: at(12), Objects: []platform.Object{object("b", 12)}})
+	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{2, at(12)}))
+	w.applyUpdate(storeUpdate{From: at(8), To: at(11), Objects: []platform.Object{{Name: "b", Revision: at(11), Deleted: true}}})
+	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{2, at(12)}), "an older update changes nothing")
+	w.applyUpdate(storeUpdate{From: at(15), To: at(16), Objects: []platform.Object{object("c", 16)}})
 	g.Expect(w.count()).To(Equal(3), "an update after a gap is applied")
 	g.Expect(w.resumeRevision()).To(BeZero(), "and the list must be read for what is missing")
-	w.applyList([]platform.Object{object("c", 16)}, 17)
-	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{1, uint64(17)}))
-	w.applyList([]platform.Object{object("a", 8)}, 10)
-	g.Expect(w.resumeRevision()).To(Equal(uint64(17)), "an older list changes nothing")
+	w.applyList([]platform.Object{object("c", 16)}, at(17))
+	g.Expect([]any{w.count(), w.resumeRevision()}).To(Equal([]any{1, at(17)}))
+	w.applyList([]platform.Object{object("a", 8)}, at(10))
+	g.Expect(w.resumeRevision()).To(Equal(at(17)), "an older list changes nothing")
 }
 
 // startFleet starts hosts in two data centres that follow a kind of the store.
@@ -103,8 +108,8 @@
 		self := member{name: fmt.Sprintf("h%02d", i), address: freeAddress(t), dataCentre: fmt.Sprint("dc", i%2), processorShare: 0.2}
 		p, err := newPeers(self, clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
 		g.Expect(err).NotTo(HaveOccurred())
-		p.knownRevisions = func() []uint64 { return []uint64{w.watcher.newestKnownRevision()} }
-		p.recordRevisions = func(revisions []uint64) { w.recordPeerRevision(revisions[0]) }
+		p.knownRevisions = func() []platform.Revision { return []platform.Revision{w.watcher.newestKnownRevision()} }
+		p.recordRevisions = func(revisions []platform.Revision) { w.recordPeerRevision(revisions[0]) }
 		p.applyUpdate = w.applyUpdate
 		w.peers, w.group, w.otherWatchers = p, p, p.otherWatchers
 		servePeers(t, p)
@@ -191,11 +196,11 @@
 		self := member{name: name, address: freeAddress(t), dataCentre: "a", processorShare: 0.2}
 		p, err := newPeers(self, clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
 		g.Expect(err).NotTo(HaveOccurred())
-		p.knownRevisions = func() []uint64 { return nil }
+		p.knownRevisions = func() []platform.Revision { return nil }
 		var objects []platform.Object
 		for _, h := range []string{"h1", "h2", "h3", "h4"} {
 			spec := `{"address":"127.0.0.1:1","data_centre":"a","power":0.2}`
-			objects = append(objects, platform.Object{Name: h, Revision: 7, Spec: []byte(spec)})
+			objects = append(objects, platform.Object{Name: h, Revision: at(7), Spec: []byte(spec)})
 		}
 		p.replaceMembers(objects)
 		return p
@@ -212,7 +217,7 @@
 		for _, h := range hosts {
 			m.Reports = append(m.Reports, hostReport{Host: h})
 		}
-		p.recordReceipt("", m)
+		p.recordReceipt("", m, true)
 	}
 	const maxSilence = 50 * time.Millisecond
 	second, third := newHost("h2"), newHost("h3")
@@ -258,3 +263,54 @@
 	store.Put("k", "later", 0)
 	awaitCount(2)
 }
+
+// TestMessagesBetweenReleasesCarryUpdatesWithoutEras guards against a fleet in
+// which hosts before and after the introduction of eras can't read each other.
+func TestMessagesBetweenReleasesCarryUpdatesWithoutEras(t *testing.T) {
+	g := NewWithT(t)
+	type earlierObject struct {
+		Name     string
+		Revision uint64
+		Spec     json.RawMessage
+		Deleted  bool
+	}
+	type earlierUpdate struct {
+		KindIndex int
+		From, To  uint64
+		Objects   []earlierObject
+	}
+	type earlierMessage struct {
+		Stage          stage
+		KnownRevisions []uint64
+		Reports        []hostReport
+		StoreUpdates   []earlierUpdate
+	}
+	var encoded bytes.Buffer
+	encoder := msgpack.NewEncoder(&encoded)
+	encoder.UseArrayEncodedStructs(true)
+	earlier := earlierMessage{KnownRevisions: []uint64{5, 6}, StoreUpdates: []earlierUpdate{{From: 4, To: 5, Objects: []earlierObject{{Name: "a", Revision: 5, Spec: json.RawMessage(`1`)}}}}}
+	g.Expect(encoder.Encode(&earlier)).To(Succeed())
+	received, err := unmarshalMessage(encoded.Bytes())
+	g.Expect(err).NotTo(HaveOccurred())
+	revisions, era := decodeRevisions(received.KnownRevisions, 2)
+	g.Expect(revisions).To(Equal([]platform.Revision{at(5), at(6)}))
+	update := storeUpdate{From: at(4), To: at(5), Objects: []platform.Object{object("a", 5)}}
+	g.Expect(received.StoreUpdates[0].decode(era)).To(Equal(update))
+
+	inEra := platform.Revision{Era: 3, Number: 5}
+	sent := message{
+		KnownRevisions: encodeRevisions([]platform.Revision{at(9), inEra}),
+		StoreUpdates:   []forwardedUpdate{encodeUpdate(storeUpdate{From: inEra, To: inEra, Objects: update.Objects})},
+	}
+	body, err := marshalMessage(sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	var readEarlier earlierMessage
+	g.Expect(msgpack.Unmarshal(body, &readEarlier)).To(Succeed())
+	g.Expect(readEarlier.StoreUpdates[0].Objects).To(Equal(earlier.StoreUpdates[0].Objects))
+	g.Expect(readEarlier.KnownRevisions[:2]).To(Equal([]uint64{0, 5}), "a number of an earlier era is not sent as one of the newest")
+	received, err = unmarshalMessage(body)
+	g.Expect(err).NotTo(HaveOccurred())
+	revisions, era = decodeRevisions(received.KnownRevisions, 2)
+	g.Expect(revisions).To(Equal([]platform.Revision{{Era: 3}, inEra}))
+	g.Expect(received.StoreUpdates[0].decode(era).To).To(Equal(inEra))
+}
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -59,16 +59,16 @@
 func (v *storeView) updateConfiguration(objects []platform.Object) {
 	var newest platform.Object
 	for _, o := range objects {
-		if o.Name == platform.ConfigurationName && !o.Deleted && o.Revision > newest.Revision {
+		if o.Name == platform.ConfigurationName && !o.Deleted && newest.Revision.Before(o.Revision) {
 			newest = o
 		}
 	}
-	if newest.Revision == 0 {
+	if newest.Revision.IsZero() {
 		return
 	}
 	declaration, err := platform.DecodeDeclaration(newest.Spec)
 	if err != nil {
-		logevent.ConfigurationUnreadable.Emit(v.logger, log.Fields{"revision": newest.Revision, "error": err.Error()})
+		logevent.ConfigurationUnreadable.Emit(v.logger, log.Fields{"revision": newest.Revision.Number, "error": err.Error()})
 		return
 	}
 	v.applyDeclaration(declaration, newest.Revision)
@@ -76,7 +76,7 @@
 
 // applyDeclaration puts a configuration into force, unless its version is not
 // higher than that in force.
-func (v *storeView) applyDeclaration(declaration route.Declaration, revision uint64) {
+func (v *storeView) applyDeclaration(declaration route.Declaration, revision platform.Revision) {
 	current := v.configuration.Load()
 	if current != nil && declaration.Version <= current.Version {
 		return
@@ -85,7 +85,7 @@
 	v.configuration.Store(next)
 	v.post(balance.ServicesChanged{Services: next.Services()})
 	logevent.DeclarationApplied.Emit(v.logger, log.Fields{
-		"version": declaration.Version, "revision": revision, "routes": len(declaration.Routes), "organisations": len(declaration.Organisations),
+		"version": declaration.Version, "revision": revision.Number, "era": revision.Era, "routes": len(declaration.Routes), "organisations": len(declaration.Organisations),
 	})
 }
 
@@ -168,7 +168,7 @@
 		}
 		r, err := platform.DecodeRegistration(o)
 		if err != nil {
-			logevent.RegistrationUnreadable.Emit(v.logger, log.Fields{"name": o.Name, "revision": o.Revision, "error": err.Error()})
+			logevent.RegistrationUnreadable.Emit(v.logger, log.Fields{"name": o.Name, "revision": o.Revision.Number, "error": err.Error()})
 			continue
 		}
 		list = append(list, balance.Upstream{
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -162,7 +162,7 @@
 	var newest atomic.Uint64
 	recordNewest := func(objects []platform.Object) {
 		for _, o := range objects {
-			newest.Store(o.Revision)
+			newest.Store(o.Revision.Number)
 		}
 	}
 	w := &watcher{
@@ -175,7 +175,7 @@
 	for i := range 100 {
 		store.Put("config", "main", i)
 		for range 5 {
-			w.recordPeerRevision(uint64(i) + 1000)
+			w.recordPeerRevision(platform.Revision{Era: 1, Number: uint64(i) + 1000})
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -193,7 +193,7 @@
 	client := platform.NewStore(store.Address(), time.Second, time.Second, func(platform.StoreCall) {})
 	defer client.Close()
 	var newest atomic.Uint64
-	recordNewest := func(objects []platform.Object) { newest.Store(objects[len(objects)-1].Revision) }
+	recordNewest := func(objects []platform.Object) { newest.Store(objects[len(objects)-1].Revision.Number) }
 	const manyHosts = 76
 	w := &watcher{
 		store: client, kind: "config", changePause: time.Millisecond, otherWatchers: func() int { return manyHosts },
@@ -209,7 +209,7 @@
 	}).Should(BeTrue())
 	store.SetWatchesStalled(true)
 	store.Put("config", "main", 1)
-	w.recordPeerRevision(newest.Load() + 1)
+	w.recordPeerRevision(platform.Revision{Era: 1, Number: newest.Load() + 1})
 	g.Eventually(newest.Load, 5*time.Second).Should(BeNumerically(">=", 3))
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -92,20 +92,20 @@
 	storeLost, following bool
 
 	// applyMu is held while changes are applied. It guards appliedRevision, the
-	// revision up to which the kind is known here (0 before the first list),
+	// revision up to which the kind is known here (zero before the first list),
 	// and changesMissing, which is true if changes between appliedRevision and
 	// the forwarded ones are missing here.
 	applyMu         sync.Mutex
-	appliedRevision uint64
+	appliedRevision platform.Revision
 	changesMissing  bool
 	// lastListRevision is the revision of the list that was read last.
-	lastListRevision uint64
+	lastListRevision platform.Revision
 
 	mu sync.Mutex
 	// newestSeen is the highest revision of the kind's objects that this host
 	// received from the store or in an update, newestKnown the highest that any
 	// host is known to have seen.
-	newestSeen, newestKnown uint64
+	newestSeen, newestKnown platform.Revision
 	// cancelWatch cancels the watch under way; nil if there is none. catchingUp
 	// is true for a watch that began when changes were already known to be
 	// missing here. Such a watch answers at once or soon ends. It is not
@@ -119,35 +119,39 @@
 }
 
 // recordPeerRevision records that another host has seen a revision, and cancels
-// the watch under way if that watch has missed it.
-func (w *watcher) recordPeerRevision(revision uint64) {
+// the watch under way if that watch has missed it. A watch of an earlier era is
+// cancelled even if it is catching up, since it misses everything.
+func (w *watcher) recordPeerRevision(revision platform.Revision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if revision <= w.newestKnown {
+	if !w.newestKnown.Before(revision) {
 		return
 	}
+	eraBegan := w.newestKnown.Era < revision.Era
 	w.newestKnown = revision
-	if w.cancelWatch != nil && !w.catchingUp {
+	if w.cancelWatch != nil && (eraBegan || !w.catchingUp) {
 		w.cancelWatch()
 	}
 }
 
 // newestKnownRevision returns the highest revision of the kind's objects that
 // any host is known to have seen.
-func (w *watcher) newestKnownRevision() uint64 {
+func (w *watcher) newestKnownRevision() platform.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.newestKnown
 }
 
-// recordRevisions records the revisions of objects that this host received.
-func (w *watcher) recordRevisions(objects []platform.Object) {
+// recordRevisions records the revisions of objects that this host received in an
+// answer of the given era.
+func (w *watcher) recordRevisions(objects []platform.Object, era uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.newestSeen = platform.Latest(w.newestSeen, platform.Revision{Era: era})
 	for _, o := range objects {
-		w.newestSeen = max(w.newestSeen, o.Revision)
+		w.newestSeen = platform.Latest(w.newestSeen, o.Revision)
 	}
-	w.newestKnown = max(w.newestKnown, w.newestSeen)
+	w.newestKnown = platform.Latest(w.newestKnown, w.newestSeen)
 }
 
 // watchWait returns how long the next watch waits.
@@ -158,7 +162,7 @@
 
 // watch waits for changes after a revision. It ends early, without any, once
 // another host has seen more than this one, or forwards its updates to it.
-func (w *watcher) watch(ctx context.Context, revision uint64) ([]platform.Object, uint64, error) {
+func (w *watcher) watch(ctx context.Context, revision platform.Revision) ([]platform.Object, platform.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The wait is computed before mu is taken: it depends on the number of
@@ -166,7 +170,7 @@
 	// revision of this watcher, which needs mu.
 	wait := w.watchWait()
 	w.mu.Lock()
-	w.catchingUp = w.newestKnown > w.newestSeen
+	w.catchingUp = w.newestSeen.Before(w.newestKnown)
 	if w.catchingUp {
 		wait = minWatchWait
 	}
@@ -176,7 +180,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelWatch = nil
-	endedEarly := w.newestKnown > w.newestSeen || w.superseded
+	endedEarly := w.newestSeen.Before(w.newestKnown) || w.superseded
 	w.superseded = false
 	if err != nil && ctx.Err() != nil && endedEarly {
 		return nil, revision, nil
@@ -204,7 +208,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, platform.ErrHistoryGone):
-			logevent.StoreHistoryGone.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision})
+			logevent.StoreHistoryGone.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision.Number, "era": revision.Era})
 			w.requireList()
 		default:
 			w.recordStoreLost(revision, err)
@@ -218,35 +222,35 @@
 
 // recordStoreLost records that a call failed, and logs it if the call before
 // succeeded.
-func (w *watcher) recordStoreLost(revision uint64, err error) {
+func (w *watcher) recordStoreLost(revision platform.Revision, err error) {
 	if w.storeLost {
 		return
 	}
 	w.storeLost = true
-	logevent.StoreCallFailing.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision, "error": err.Error()})
+	logevent.StoreCallFailing.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision.Number, "error": err.Error()})
 }
 
 // recordStoreRegained records that a call succeeded, and logs it if the call
 // before failed.
-func (w *watcher) recordStoreRegained(revision uint64) {
+func (w *watcher) recordStoreRegained(revision platform.Revision) {
 	if !w.storeLost {
 		return
 	}
 	w.storeLost = false
-	logevent.StoreCallRecovered.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision})
+	logevent.StoreCallRecovered.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision.Number, "era": revision.Era})
 }
 
 // fetchOnce reads the whole list if there is no revision to continue from, and
 // waits for changes otherwise.
-func (w *watcher) fetchOnce(ctx context.Context, revision uint64) error {
-	if revision == 0 {
+func (w *watcher) fetchOnce(ctx context.Context, revision platform.Revision) error {
+	if revision.IsZero() {
 		objects, next, err := w.store.List(ctx, w.kind)
 		if err != nil {
 			return err
 		}
 		w.recordStoreRegained(next)
 		w.applyList(objects, next)
-		sleep(ctx, w.listPause)
+		sleep(ctx, w.pauseAfterList())
 		return nil
 	}
 	changes, next, err := w.watch(ctx, revision)
@@ -262,6 +266,15 @@
 	return nil
 }
 
+// pauseAfterList returns the pause after a list. It is at least the pause after a
+// change if another list is due, because another host knows a later era already.
+func (w *watcher) pauseAfterList() time.Duration {
+	if w.resumeRevision().IsZero() {
+		return max(w.listPause, w.changePause)
+	}
+	return w.listPause
+}
+
 // sleep waits for a duration. It returns false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
