Reproduce followers that fall behind while others watch for them

- A host relies on forwarded updates of any kind of objects.
If the first host's watch of the configuration ends while it forwards the servers, the others never get a change (host 2 of 20: none after 3 s).
- An update above 60 KiB is not forwarded, so each host finds a gap and reads the store itself (55 calls for 10 changes).

--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -110,7 +111,11 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		p.knownRevisions = func() []platform.Revision { return []platform.Revision{w.watcher.newestKnownRevision()} }
 		p.recordRevisions = func(revisions []platform.Revision) { w.recordPeerRevision(revisions[0]) }
-		p.applyUpdate = w.applyUpdate
+		p.applyUpdate = func(update storeUpdate) {
+			if update.KindIndex == w.kindIndex {
+				w.applyUpdate(update)
+			}
+		}
 		w.peers, w.group, w.otherWatchers = p, p, p.otherWatchers
 		servePeers(t, p)
 		all = append(all, w)
@@ -264,6 +269,71 @@
 	awaitCount(2)
 }
 
+// fleetApplyBound is the time within which a confirmed configuration must be in
+// force in the deployments that have more than maxDirectHosts hosts.
+const fleetApplyBound = 3 * time.Second
+
+// TestFollowersNoticeThatOneKindIsNoLongerForwarded guards against followers that
+// take updates of one kind of objects as a sign that all kinds are watched.
+func TestFollowersNoticeThatOneKindIsNoLongerForwarded(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("k", "first", 0)
+	all, stops := startFleet(t, store, 20)
+	for _, w := range all {
+		g.Eventually(w.count, 5*time.Second).Should(Equal(1))
+	}
+	time.Sleep(2 * minWatchWait)
+	const firstOfEach = 2
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i, stop := range stops[:firstOfEach] {
+		stop()
+		revision := all[i].newestKnownRevision()
+		go func() {
+			for sleep(ctx, forwardingTimeout/4) {
+				all[i].peers.forward(storeUpdate{KindIndex: all[i].kindIndex + 1, From: revision, To: revision})
+			}
+		}()
+	}
+	store.Put("k", "second", 0)
+	for i, w := range all[firstOfEach:] {
+		g.Eventually(w.count, fleetApplyBound).Should(Equal(2), "host %d", firstOfEach+i)
+	}
+}
+
+// TestLargeChangesAreForwarded guards against a fleet in which every host reads
+// the store after each change of a large configuration.
+func TestLargeChangesAreForwarded(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("k", "first", 0)
+	const hosts, changes, routes = 20, 10, 2000
+	all, _ := startFleet(t, store, hosts)
+	large := make([]map[string]any, routes)
+	for i := range large {
+		large[i] = map[string]any{
+			"name": fmt.Sprintf("r-%x", rand.Uint32()), "host": fmt.Sprintf("%x.example", rand.Uint32()), "pathPrefix": fmt.Sprintf("/%x/", rand.Uint32()),
+			"service": "llm", "routeType": "streaming", "timeoutMs": 10000, "targetLatencyMs": 1500, "priority": 1, "maxAttempts": 2,
+		}
+	}
+	for _, w := range all {
+		g.Eventually(w.count, 5*time.Second).Should(Equal(1))
+	}
+	time.Sleep(2 * minWatchWait)
+	before := store.CallCount()
+	for i := range changes {
+		store.Put("k", fmt.Sprint("large-", i), large)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for i, w := range all {
+		g.Eventually(w.count, fleetApplyBound).Should(Equal(1+changes), "host %d", i)
+	}
+	g.Expect(store.CallCount()-before).To(BeNumerically("<=", 4*changes), "calls to the store")
+}
+
 // TestMessagesBetweenReleasesCarryUpdatesWithoutEras guards against a fleet in
 // which hosts before and after the introduction of eras can't read each other.
 func TestMessagesBetweenReleasesCarryUpdatesWithoutEras(t *testing.T) {
