Rely on another host's updates for each kind of objects alone

Cause: the time at which another host last forwarded an update was one for all kinds of objects. If the first host of a data centre could no longer watch the configuration, or could not forward it, its updates of the servers kept the others from watching the configuration themselves, without limit.

The time is kept by kind now. The wait for the next update follows from how long a watch of the kind waits, so that the hosts, whose watches wait 4 s, are still followed between two answers.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,11 +75,13 @@
 	selfRemoved chan struct{}
 	// registered is true once this host has written its own entry.
 	registered atomic.Bool
-	// lastForwardedAt is when a host that goes before this one in its data
-	// centre last forwarded an answer of the store, or when expectUpdates began
-	// the wait for the first such answer; 0 if neither has happened.
-	lastForwardedAt time.Duration
-	batch           batch
+	// lastForwardedAt holds, by the index of a kind of objects, when a host that
+	// goes before this one in its data centre last forwarded an answer of the
+	// store. updatesExpectedAt is when expectUpdates began the wait for the
+	// first such answers; 0 if it did not.
+	lastForwardedAt   map[int]time.Duration
+	updatesExpectedAt time.Duration
+	batch             batch
 	// batchStarted is signalled when the batch has got its first reports.
 	batchStarted chan struct{}
 }
@@ -89,7 +91,7 @@
 	p := &peers{
 		self: self, clock: c, logger: logger, post: post,
 		members: make(map[string]member), relays: newRelaySelector(), batchStarted: make(chan struct{}, 1),
-		selfRemoved: make(chan struct{}, 1),
+		selfRemoved: make(chan struct{}, 1), lastForwardedAt: make(map[int]time.Duration),
 	}
 	transport, err := peer.New(peer.DefaultConfig(self.address), nil, p.receive, logger)
 	p.transport = transport
@@ -324,12 +326,14 @@
 			p.members[report.Host] = m
 		}
 	}
-	if len(received.StoreUpdates) == 0 || !currentEra {
+	if !currentEra {
 		return
 	}
 	rank := p.relays.rank(p.self.dataCentre, sender)
 	if rank < relayCandidates && rank < p.relays.rank(p.self.dataCentre, p.self.name) {
-		p.lastForwardedAt = now
+		for _, update := range received.StoreUpdates {
+			p.lastForwardedAt[update.KindIndex] = now
+		}
 	}
 }
 
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	// forwardingTimeout is how long a host waits for the next update from a
-	// host that watches the store for it, before it watches the store itself.
-	// It exceeds the time between two answers of one watch plus the pause after
-	// a change.
-	forwardingTimeout = 1600 * time.Millisecond
+	// minForwardingTimeout is how long a host waits for the next update of a
+	// kind from a host that watches the store for it, before it watches the
+	// store itself; see watcher.forwardingTimeout.
+	minForwardingTimeout = 1600 * time.Millisecond
 	// followPollInterval is the time between two checks whether another host
 	// still forwards updates.
 	followPollInterval = 100 * time.Millisecond
@@ -75,8 +74,8 @@
 // store for each other.
 type watchGroup interface {
 	// receivesUpdates reports whether another host currently forwards updates
-	// to this one.
-	receivesUpdates() bool
+	// of a kind to this one: whether one arrived within the timeout.
+	receivesUpdates(kindIndex int, timeout time.Duration) bool
 	// rank returns this host's position among those of its data centre that may
 	// watch for the others; 0 is the first.
 	rank() int
@@ -88,7 +87,17 @@
 // instead of watching the store itself. For that it must have read a list, and
 // no changes may be missing.
 func (w *watcher) shouldFollow() bool {
-	return w.group != nil && w.group.receivesUpdates() && !w.resumeRevision().IsZero()
+	return w.group != nil && w.group.receivesUpdates(w.kindIndex, w.forwardingTimeout()) && !w.resumeRevision().IsZero()
+}
+
+// forwardingTimeout returns how long a host waits for the next update of the kind
+// from a host that watches the store for it. It exceeds the time between two
+// answers of one watch plus the pause after a change.
+func (w *watcher) forwardingTimeout() time.Duration {
+	if w.minWait <= minWatchWait {
+		return minForwardingTimeout
+	}
+	return w.minWait + w.changePause + minForwardingTimeout - minWatchWait
 }
 
 // logFollowing logs when another host begins to watch the store for this one,
@@ -228,20 +237,22 @@
 }
 
 // receivesUpdates implements watchGroup. In a small fleet every host watches
-// the store itself.
-func (p *peers) receivesUpdates() bool {
+// the store itself. Updates of one kind say nothing about other kinds, whose
+// watches may fail on their own.
+func (p *peers) receivesUpdates(kindIndex int, timeout time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastForwardedAt > 0 && p.clock.Now()-p.lastForwardedAt < forwardingTimeout && len(p.members) >= maxDirectHosts
+	since := max(p.updatesExpectedAt, p.lastForwardedAt[kindIndex])
+	return since > 0 && p.clock.Now()-since < timeout && len(p.members) >= maxDirectHosts
 }
 
 // expectUpdates makes a host that has just learned of the other hosts rely on
 // their updates for as long as it would wait for the next one. This does not
 // concern the hosts that may watch for their data centre. The caller holds mu.
 func (p *peers) expectUpdates() {
-	firstTime := p.lastForwardedAt == 0 && len(p.members) >= maxDirectHosts
+	firstTime := p.updatesExpectedAt == 0 && len(p.lastForwardedAt) == 0 && len(p.members) >= maxDirectHosts
 	if firstTime && p.relays.rank(p.self.dataCentre, p.self.name) >= relayCandidates {
-		p.lastForwardedAt = max(1, p.clock.Now())
+		p.updatesExpectedAt = max(1, p.clock.Now())
 	}
 }
 
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -186,10 +186,10 @@
 	}
 	for i, w := range all {
 		rank := i / 2
-		g.Expect(w.peers.receivesUpdates()).To(Equal(rank >= relayCandidates), "host %d, the %dth of its data centre", i, rank)
+		g.Expect(w.peers.receivesUpdates(w.kindIndex, w.forwardingTimeout())).To(Equal(rank >= relayCandidates), "host %d, the %dth of its data centre", i, rank)
 	}
-	time.Sleep(forwardingTimeout + 100*time.Millisecond)
-	g.Expect(all[hosts-1].peers.receivesUpdates()).To(BeFalse(), "a host that receives no updates watches the store itself")
+	time.Sleep(minForwardingTimeout + 100*time.Millisecond)
+	g.Expect(all[hosts-1].peers.receivesUpdates(all[hosts-1].kindIndex, minForwardingTimeout)).To(BeFalse(), "a host that receives no updates watches the store itself")
 }
 
 // TestEntriesOfSilentHostsAreRemoved has hosts fail for good. The entry of a
@@ -292,7 +292,7 @@
 		stop()
 		revision := all[i].newestKnownRevision()
 		go func() {
-			for sleep(ctx, forwardingTimeout/4) {
+			for sleep(ctx, minForwardingTimeout/4) {
 				all[i].peers.forward(storeUpdate{KindIndex: all[i].kindIndex + 1, From: revision, To: revision})
 			}
 		}()
