Compress large messages between hosts

Cause: a message between hosts has at most 60 KiB. A larger configuration could not be forwarded by the first host of a data centre; the others found the gap with the next answer of its watch, up to a second later, and each read the store itself.

TestLargeChangesAreForwarded failed before (55 and 58 calls to the store for 10 changes, 40 allowed) and passes now.

What is too large even then becomes a notice of the revision, upon which the receivers read the store at once. The encoding moves to message.go.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"slices"
@@ -10,8 +9,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/clock"
@@ -24,10 +21,6 @@
 // hostsKind is the kind of the store's objects by which hosts find each other.
 const hostsKind = "chestnut-hosts"
 
-// topicWork is the topic of all messages between gateways: reports about the
-// work in flight, forwarded answers of the store, and known revisions.
-const topicWork wire.Topic = 128
-
 // hostSpec is the entry that a host writes about itself into the store.
 type hostSpec struct {
 	// Address is the address at which the host listens for other hosts.
@@ -39,19 +32,6 @@
 	Boot uint64 `json:"boot"`
 }
 
-// message is what one host sends to another. It is encoded as an array, so the
-// order of its fields is part of the format.
-type message struct {
-	Stage stage
-	// KnownRevisions are the numbers of the newest revisions of the store's kinds
-	// that the sender knows of, in an order that is the same on all hosts, and
-	// then the newest era of the store that it knows of; see encodeRevisions.
-	KnownRevisions []uint64
-	Reports        []hostReport
-	// StoreUpdates are answers of the store that the sender forwards.
-	StoreUpdates []forwardedUpdate
-}
-
 // peers holds the other hosts and exchanges messages with them.
 type peers struct {
 	self      member
@@ -201,13 +181,13 @@
 // sendToMembers sends a message to all hosts of a data centre; an empty name
 // stands for all data centres. The caller holds mu.
 func (p *peers) sendToMembers(dataCentre string, m message) {
-	body, ok := p.encodeMessage(m)
+	carrier, ok := p.encodeMessage(m)
 	if !ok {
 		return
 	}
 	for _, to := range p.members {
 		if dataCentre == "" || to.dataCentre == dataCentre {
-			p.transport.Send(to.address, wire.TopicMessage{Host: p.self.name, Topic: topicWork, Body: body})
+			p.transport.Send(to.address, carrier)
 		}
 	}
 }
@@ -224,11 +204,11 @@
 		p.collect(m)
 		return
 	}
-	body, ok := p.encodeMessage(m)
+	carrier, ok := p.encodeMessage(m)
 	if !ok {
 		return
 	}
-	p.transport.Send(to.address, wire.TopicMessage{Host: p.self.name, Topic: topicWork, Body: body})
+	p.transport.Send(to.address, carrier)
 	p.relays.recordConnection(to.address, p.transport.Connected(to.address), now)
 }
 
@@ -285,11 +265,11 @@
 // the reports to send them on.
 func (p *peers) receive(remote string, received wire.Message) {
 	carried, ok := received.(wire.TopicMessage)
-	if !ok || carried.Topic != topicWork {
+	if !ok {
 		logevent.PeerRefused.Emit(p.logger, log.Fields{"remote": remote, "error": "unexpected message"})
 		return
 	}
-	m, err := unmarshalMessage(carried.Body)
+	m, err := decodeMessage(carried)
 	if err != nil {
 		logevent.PeerRefused.Emit(p.logger, log.Fields{"remote": remote, "error": err.Error()})
 		return
@@ -336,75 +316,3 @@
 		}
 	}
 }
-
-// newestEra returns the latest era among revisions.
-func newestEra(revisions []platform.Revision) uint64 {
-	newest := uint64(0)
-	for _, r := range revisions {
-		newest = max(newest, r.Era)
-	}
-	return newest
-}
-
-// encodeRevisions returns the form of revisions in a message: their numbers, and
-// then the newest era among them. The number is 0 for a revision of an earlier
-// era. Hosts of an earlier release send no era, and ignore it.
-func encodeRevisions(revisions []platform.Revision) []uint64 {
-	era := newestEra(revisions)
-	encoded := make([]uint64, 0, len(revisions)+1)
-	for _, r := range revisions {
-		if r.Era < era {
-			r.Number = 0
-		}
-		encoded = append(encoded, r.Number)
-	}
-	return append(encoded, era)
-}
-
-// decodeRevisions returns the revisions of the given number of kinds that a
-// message holds, and their era.
-func decodeRevisions(encoded []uint64, kinds int) ([]platform.Revision, uint64) {
-	era := uint64(0)
-	if len(encoded) > kinds {
-		era = encoded[kinds]
-	}
-	revisions := make([]platform.Revision, min(kinds, len(encoded)))
-	for i := range revisions {
-		revisions[i] = platform.Revision{Era: era, Number: encoded[i]}
-	}
-	return revisions, era
-}
-
-// encodeMessage adds the revisions known here to a message and encodes it. It
-// returns false, and logs the reason, if the message can't be sent.
-func (p *peers) encodeMessage(m message) ([]byte, bool) {
-	m.KnownRevisions = encodeRevisions(p.knownRevisions())
-	body, err := marshalMessage(m)
-	if err != nil {
-		logevent.PeerMessageInvalid.Emit(p.logger, log.Fields{"address": "all", "error": err.Error()})
-		return nil, false
-	}
-	return body, true
-}
-
-// marshalMessage encodes a message as MessagePack. It returns an error if the
-// result is larger than the transport allows.
-func marshalMessage(m message) ([]byte, error) {
-	// Structs are encoded as arrays, which need no field names.
-	var out bytes.Buffer
-	encoder := msgpack.NewEncoder(&out)
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	err := encoder.Encode(&m)
-	if err == nil && out.Len() > wire.MaxBodyBytes {
-		err = errors.Errorf("%d bytes, at most %d can be sent", out.Len(), wire.MaxBodyBytes)
-	}
-	return out.Bytes(), errors.Wrap(err, "encode a message to other hosts")
-}
-
-// unmarshalMessage decodes a message from MessagePack.
-func unmarshalMessage(body []byte) (message, error) {
-	var m message
-	err := msgpack.Unmarshal(body, &m)
-	return m, errors.Wrap(err, "decode a message of another host")
-}
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/telemetry"
+	"github.com/chestnutline/chestnutline/internal/wire"
 	"github.com/chestnutline/chestnutline/platform"
 	"github.com/chestnutline/chestnutline/platform/standin"
 )
@@ -334,6 +335,26 @@
 	g.Expect(store.CallCount()-before).To(BeNumerically("<=", 4*changes), "calls to the store")
 }
 
+// TestUpdateTooLargeToForwardBecomesANotice guards against followers that learn of
+// a change only with the next one, because the message about it can't be sent.
+func TestUpdateTooLargeToForwardBecomesANotice(t *testing.T) {
+	g := NewWithT(t)
+	p, err := newPeers(member{name: "h", address: freeAddress(t), dataCentre: "a"}, clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
+	g.Expect(err).NotTo(HaveOccurred())
+	p.knownRevisions = func() []platform.Revision { return []platform.Revision{at(9)} }
+	content := make([]byte, 2*wire.MaxBodyBytes)
+	random := rand.NewChaCha8([32]byte{1})
+	_, _ = random.Read(content)
+	large := platform.Object{Name: "main", Revision: at(9), Spec: content}
+	carrier, ok := p.encodeMessage(message{StoreUpdates: []forwardedUpdate{encodeUpdate(storeUpdate{KindIndex: 1, From: at(8), To: at(9), Objects: []platform.Object{large}})}})
+	g.Expect(ok).To(BeTrue())
+	received, err := decodeMessage(carrier)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received.StoreUpdates).To(Equal([]forwardedUpdate{{KindIndex: 1, From: 9, To: 9}}))
+	_, err = decodeMessage(wire.TopicMessage{Topic: topicCompressedWork, Body: []byte("not compressed")})
+	g.Expect(err).To(HaveOccurred())
+}
+
 // TestMessagesBetweenReleasesCarryUpdatesWithoutEras guards against a fleet in
 // which hosts before and after the introduction of eras can't read each other.
 func TestMessagesBetweenReleasesCarryUpdatesWithoutEras(t *testing.T) {
@@ -360,7 +381,7 @@
 	encoder.UseArrayEncodedStructs(true)
 	earlier := earlierMessage{KnownRevisions: []uint64{5, 6}, StoreUpdates: []earlierUpdate{{From: 4, To: 5, Objects: []earlierObject{{Name: "a", Revision: 5, Spec: json.RawMessage(`1`)}}}}}
 	g.Expect(encoder.Encode(&earlier)).To(Succeed())
-	received, err := unmarshalMessage(encoded.Bytes())
+	received, err := decodeMessage(wire.TopicMessage{Topic: topicWork, Body: encoded.Bytes()})
 	g.Expect(err).NotTo(HaveOccurred())
 	revisions, era := decodeRevisions(received.KnownRevisions, 2)
 	g.Expect(revisions).To(Equal([]platform.Revision{at(5), at(6)}))
@@ -372,13 +393,14 @@
 		KnownRevisions: encodeRevisions([]platform.Revision{at(9), inEra}),
 		StoreUpdates:   []forwardedUpdate{encodeUpdate(storeUpdate{From: inEra, To: inEra, Objects: update.Objects})},
 	}
-	body, err := marshalMessage(sent)
+	topic, body, err := marshalMessage(sent)
 	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(topic).To(Equal(topicWork), "the only topic that earlier releases know")
 	var readEarlier earlierMessage
 	g.Expect(msgpack.Unmarshal(body, &readEarlier)).To(Succeed())
 	g.Expect(readEarlier.StoreUpdates[0].Objects).To(Equal(earlier.StoreUpdates[0].Objects))
 	g.Expect(readEarlier.KnownRevisions[:2]).To(Equal([]uint64{0, 5}), "a number of an earlier era is not sent as one of the newest")
-	received, err = unmarshalMessage(body)
+	received, err = decodeMessage(wire.TopicMessage{Topic: topic, Body: body})
 	g.Expect(err).NotTo(HaveOccurred())
 	revisions, era = decodeRevisions(received.KnownRevisions, 2)
 	g.Expect(revisions).To(Equal([]platform.Revision{{Era: 3}, inEra}))
