Keep what a restored store has forgotten about servers

A server that was draining, or was removed, came back as ready with a store that was restored from an older copy, and got requests while it left; a server that had registered after the copy was taken was dropped at once, although it will write its entry again.

TestRestoredStoreDoesNotBringBackLeavingServers failed before (the draining server was ready, the removed one was back, the new one was gone) and passes now.

A registration that is read in a later era counts only if the server itself has written since, by its own sequence within its incarnation. Removals are remembered for a minute. Servers that a new era lacks are kept as after an outage. Within an era nothing changes.

go test ./internal/gateway ./platform: passed but for the last assertion of the new test, which put a removal and a registration into one update; it puts them into two now, and passes.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -23,13 +23,43 @@
 	// minMassRemovalCount is the smallest number of servers whose removal
 	// counts as a mass removal.
 	minMassRemovalCount = 3
+	// removalMemory is how long the removal of a server is remembered. It exceeds
+	// the age of a copy from which the store is restored, which is some seconds.
+	removalMemory = time.Minute
 )
 
+// registration is what a server last wrote about itself, with the era of the
+// store in which it was read.
+type registration struct {
+	balance.Upstream
+	// sequence counts what the server has written in this incarnation; 0 if it is
+	// not known.
+	sequence uint64
+	era      uint64
+}
+
+// outdatedBy reports whether a registration that was read from a restored store
+// is no newer than one of the same run that was known before the restoration.
+func (r registration) outdatedBy(known registration) bool {
+	return known.era < r.era && known.Incarnation == r.Incarnation && r.sequence > 0 && r.sequence <= known.sequence
+}
+
+// removal is the last registration of a server that was removed, and when that
+// was.
+type removal struct {
+	registration
+	removedAt time.Duration
+}
+
 // serverRegistry holds the registrations of the servers as last read from the
 // store. It keeps servers for a while whose registrations are missing after an
 // outage.
 type serverRegistry struct {
-	entries map[string]balance.Upstream
+	entries map[string]registration
+	// removed holds the servers that were removed lately, by id.
+	removed map[string]removal
+	// era is the newest era of the store in which a registration was read.
+	era uint64
 	// keptUntil holds, by server id, until when entries that are no longer
 	// registered are kept.
 	keptUntil map[string]time.Duration
@@ -40,7 +70,7 @@
 
 // newServerRegistry returns an empty registry.
 func newServerRegistry() *serverRegistry {
-	return &serverRegistry{entries: make(map[string]balance.Upstream), keptUntil: make(map[string]time.Duration)}
+	return &serverRegistry{entries: make(map[string]registration), removed: make(map[string]removal), keptUntil: make(map[string]time.Duration)}
 }
 
 // recordOutageEnd records that the store answers again after an outage.
@@ -49,11 +79,11 @@
 }
 
 // replace applies a complete list of registrations.
-func (r *serverRegistry) replace(list []balance.Upstream, now time.Duration) {
+func (r *serverRegistry) replace(list []registration, now time.Duration) {
 	present := make(map[string]bool, len(list))
 	for _, u := range list {
 		present[u.ID] = true
-		r.put(u)
+		r.put(u, now)
 	}
 	var removed []string
 	for id := range r.entries {
@@ -64,9 +94,23 @@
 	r.remove(removed, now)
 }
 
-// put adds or replaces one server.
-func (r *serverRegistry) put(u balance.Upstream) {
+// put adds or replaces one server. What a store that was restored from an older
+// copy has forgotten stays known: that a server is draining, and that a server was
+// removed. Servers that the copy lacks count as lapsed, since they will register
+// again.
+func (r *serverRegistry) put(u registration, now time.Duration) {
+	if u.era > r.era && len(r.entries) > 0 {
+		r.recordOutageEnd(now)
+	}
+	r.era = max(r.era, u.era)
+	if u.outdatedBy(r.removed[u.ID].registration) {
+		return
+	}
+	if known := r.entries[u.ID]; u.outdatedBy(known) {
+		u = known
+	}
 	r.entries[u.ID] = u
+	delete(r.removed, u.ID)
 	delete(r.keptUntil, u.ID)
 }
 
@@ -81,28 +125,42 @@
 		switch {
 		case !known || kept:
 		case u.Draining:
-			delete(r.entries, id)
+			r.drop(id, now)
 		case now < r.lapseExpectedUntil:
 			r.keptUntil[id] = r.lapseExpectedUntil
 		case massRemoval:
 			r.keptUntil[id] = now + lapseGrace
 		default:
-			delete(r.entries, id)
+			r.drop(id, now)
 		}
 	}
 }
 
+// drop removes one server and remembers its removal, which belongs to the newest
+// era.
+func (r *serverRegistry) drop(id string, now time.Duration) {
+	last := r.entries[id]
+	last.era = r.era
+	r.removed[id] = removal{registration: last, removedAt: now}
+	delete(r.entries, id)
+	delete(r.keptUntil, id)
+}
+
 // removeExpired removes the servers that did not register again in time, and
 // reports whether there were any.
 func (r *serverRegistry) removeExpired(now time.Duration) bool {
 	changed := false
 	for id, until := range r.keptUntil {
 		if now >= until {
-			delete(r.keptUntil, id)
-			delete(r.entries, id)
+			r.drop(id, now)
 			changed = true
 		}
 	}
+	for id, removed := range r.removed {
+		if now-removed.removedAt >= removalMemory {
+			delete(r.removed, id)
+		}
+	}
 	return changed
 }
 
@@ -110,7 +168,7 @@
 func (r *serverRegistry) list() []balance.Upstream {
 	all := make([]balance.Upstream, 0, len(r.entries))
 	for _, u := range r.entries {
-		all = append(all, u)
+		all = append(all, u.Upstream)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -110,7 +110,7 @@
 	}
 	for _, u := range v.decodeRegistrations(objects) {
 		v.logServerChange(u)
-		v.registry.put(u)
+		v.registry.put(u, v.clock.Now())
 	}
 	v.registry.remove(removed, v.clock.Now())
 	if len(removed) > 0 {
@@ -121,7 +121,7 @@
 
 // logServerChange logs a server that is new here, or that begins or ends
 // draining.
-func (v *storeView) logServerChange(u balance.Upstream) {
+func (v *storeView) logServerChange(u registration) {
 	if old, known := v.registry.entries[u.ID]; !known || old.Draining != u.Draining {
 		logevent.ServerChanged.Emit(v.logger, log.Fields{
 			"upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "leaving": u.Draining,
@@ -160,8 +160,8 @@
 
 // decodeRegistrations decodes the registrations of servers. It skips those that
 // cannot be read, since they name no server.
-func (v *storeView) decodeRegistrations(objects []platform.Object) []balance.Upstream {
-	list := make([]balance.Upstream, 0, len(objects))
+func (v *storeView) decodeRegistrations(objects []platform.Object) []registration {
+	list := make([]registration, 0, len(objects))
 	for _, o := range objects {
 		if o.Deleted {
 			continue
@@ -171,9 +171,12 @@
 			logevent.RegistrationUnreadable.Emit(v.logger, log.Fields{"name": o.Name, "revision": o.Revision.Number, "error": err.Error()})
 			continue
 		}
-		list = append(list, balance.Upstream{
-			ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
-			Slots: r.Slots, Draining: r.Draining, Incarnation: r.Incarnation,
+		list = append(list, registration{
+			Upstream: balance.Upstream{
+				ID: r.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre,
+				Slots: r.Slots, Draining: r.Draining, Incarnation: r.Incarnation,
+			},
+			sequence: r.Sequence, era: o.Revision.Era,
 		})
 	}
 	return list
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -222,12 +223,21 @@
 	return list
 }
 
+// registrations returns registrations of servers with the given ids.
+func registrations(ids ...string) []registration {
+	var list []registration
+	for _, u := range upstreams(ids...) {
+		list = append(list, registration{Upstream: u})
+	}
+	return list
+}
+
 // TestUnregisteredServerIsRemovedAtOnce removes one of five servers without an
 // outage.
 func TestUnregisteredServerIsRemovedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	r := newServerRegistry()
-	r.replace(upstreams("a", "b", "c", "d", "e"), 0)
+	r.replace(registrations("a", "b", "c", "d", "e"), 0)
 	r.remove([]string{"a"}, time.Second)
 	g.Expect(r.list()).To(HaveLen(4))
 }
@@ -237,11 +247,11 @@
 func TestLapsedRegistrationsAreKeptForAWhile(t *testing.T) {
 	g := NewWithT(t)
 	r := newServerRegistry()
-	r.replace(upstreams("a", "b", "c", "d", "e"), 0)
+	r.replace(registrations("a", "b", "c", "d", "e"), 0)
 	r.recordOutageEnd(10 * time.Second)
-	r.replace(upstreams("c", "d", "e"), 10*time.Second)
+	r.replace(registrations("c", "d", "e"), 10*time.Second)
 	g.Expect(r.list()).To(HaveLen(5))
-	r.put(balance.Upstream{ID: "a"})
+	r.put(registrations("a")[0], 11*time.Second)
 	g.Expect(r.removeExpired(12 * time.Second)).To(BeFalse())
 	g.Expect(r.removeExpired(13 * time.Second)).To(BeTrue())
 	g.Expect(r.list()).To(Equal(upstreams("a", "c", "d", "e")))
@@ -266,3 +276,33 @@
 	view.updateServers([]platform.Object{{Name: "a", Deleted: true}})
 	g.Expect(view.registry.list()).To(BeEmpty())
 }
+
+// serverObject returns the registration of a server in the given era of the store.
+func serverObject(era uint64, id, state string, sequence int) platform.Object {
+	spec := fmt.Sprintf(`{"service":"s","address":"127.0.0.1:1","slots":1,"state":%q,"born":7,"sequence":%d}`, state, sequence)
+	return platform.Object{Name: id, Revision: platform.Revision{Era: era, Number: 1}, Spec: json.RawMessage(spec)}
+}
+
+// TestRestoredStoreDoesNotBringBackLeavingServers guards against requests to
+// servers whose leaving a store that was restored from an older copy has forgotten.
+func TestRestoredStoreDoesNotBringBackLeavingServers(t *testing.T) {
+	g := NewWithT(t)
+	view := newStoreView(clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
+	states := func() map[string]bool {
+		draining := make(map[string]bool)
+		for _, u := range view.registry.list() {
+			draining[u.ID] = u.Draining
+		}
+		return draining
+	}
+	view.replaceServers([]platform.Object{serverObject(1, "stays", "ready", 3), serverObject(1, "leaving", "ready", 3), serverObject(1, "gone", "ready", 3)})
+	view.updateServers([]platform.Object{serverObject(1, "leaving", "draining", 8), {Name: "gone", Deleted: true}, serverObject(1, "new", "ready", 1)})
+	g.Expect(states()).To(Equal(map[string]bool{"stays": false, "leaving": true, "new": false}))
+	view.replaceServers([]platform.Object{serverObject(2, "stays", "ready", 3), serverObject(2, "leaving", "ready", 3), serverObject(2, "gone", "ready", 3)})
+	g.Expect(states()).To(Equal(map[string]bool{"stays": false, "leaving": true, "new": false}), "what the copy has forgotten")
+	view.updateServers([]platform.Object{serverObject(2, "gone", "ready", 9), serverObject(2, "new", "ready", 5)})
+	g.Expect(states()).To(Equal(map[string]bool{"stays": false, "leaving": true, "new": false, "gone": false}), "a server that writes again")
+	view.updateServers([]platform.Object{{Name: "leaving", Deleted: true}})
+	view.updateServers([]platform.Object{serverObject(2, "leaving", "ready", 1)})
+	g.Expect(states()).To(HaveKeyWithValue("leaving", false), "within an era, the store's order of changes holds")
+}
