Apply removals and registrations of one update in order

A server whose removal and new registration arrived in one update of the store was dropped, since all removals were applied last; it came back only with its next change.

TestServerThatRegistersAgainWithinOneUpdateIsKept failed before (no server left of one that is back and one that left) and passes now: of several changes of an object, the last one counts.

go test of the tests of the store view passed.

--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -98,10 +98,26 @@
 	v.postUpstreams()
 }
 
+// lastChanges returns the last change of each object, in the order of changes.
+func lastChanges(objects []platform.Object) []platform.Object {
+	last := make(map[string]int, len(objects))
+	for i, o := range objects {
+		last[o.Name] = i
+	}
+	var changes []platform.Object
+	for i, o := range objects {
+		if last[o.Name] == i {
+			changes = append(changes, o)
+		}
+	}
+	return changes
+}
+
 // updateServers applies changed registrations, among them removals.
 func (v *storeView) updateServers(objects []platform.Object) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	objects = lastChanges(objects)
 	var removed []string
 	for _, o := range objects {
 		if o.Deleted {
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -306,3 +306,19 @@
 	view.updateServers([]platform.Object{serverObject(2, "leaving", "ready", 1)})
 	g.Expect(states()).To(HaveKeyWithValue("leaving", false), "within an era, the store's order of changes holds")
 }
+
+// TestServerThatRegistersAgainWithinOneUpdateIsKept guards against removing a
+// server whose removal and new registration arrive together.
+func TestServerThatRegistersAgainWithinOneUpdateIsKept(t *testing.T) {
+	g := NewWithT(t)
+	view := newStoreView(clock.Start(), &log.Logger{Handler: discard.New()}, func(balance.Event) {})
+	view.replaceServers([]platform.Object{serverObject(1, "back", "ready", 3), serverObject(1, "left", "ready", 3)})
+	view.updateServers([]platform.Object{
+		{Name: "back", Deleted: true},
+		serverObject(1, "back", "ready", 9),
+		serverObject(1, "left", "ready", 9),
+		{Name: "left", Deleted: true},
+	})
+	g.Expect(view.registry.list()).To(HaveLen(1))
+	g.Expect(view.registry.list()[0].ID).To(Equal("back"))
+}
