Log the limits that servers name

Neither the limit nor its end could be seen in logs. Event 7025 names the server and the limit before and after; answers with a limit that is no number are counted.

No placement changes. Tests of platform, balance, logevent, docs and archtest passed.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -81,6 +81,8 @@
 		c.handleAttemptFailed(e, now)
 	case CallerGone:
 		c.handleCallerGone(e, now)
+	case LimitObserved:
+		c.handleLimitObserved(e)
 	case ReservationResult:
 		c.handleReservationResult(e, now)
 	case UpstreamsChanged:
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -66,6 +66,9 @@
 	ConnectTimeout    time.Duration
 	FirstPieceTimeout time.Duration
 	PieceTimeout      time.Duration
+	// LeaderLimited is set when the leader's last answer named a limit. Then the
+	// caller of the core reports by LimitObserved also that an answer names none.
+	LeaderLimited bool
 	// Choice describes the placement decision, for logs.
 	Choice PlacementChoice
 }
@@ -151,7 +154,18 @@
 	RequestsSeen float64
 }
 
+// UpstreamLimitChanged reports that a server named a limit, another limit, or none
+// any more.
+type UpstreamLimitChanged struct {
+	// Upstream is the id of the server.
+	Upstream string
+	// Before and PerSecond are the limits, in requests a second from all hosts
+	// together; 0 stands for none.
+	Before, PerSecond float64
+}
+
 func (Send) effect()                 {}
+func (UpstreamLimitChanged) effect() {}
 func (ReserveMemory) effect()        {}
 func (ReleaseMemory) effect()        {}
 func (Refuse) effect()               {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -44,6 +44,16 @@
 	Attempt       int
 }
 
+// LimitObserved reports the limit that a server named in an answer, or that it
+// named none although it had before the request was sent.
+type LimitObserved struct {
+	// Upstream is the id of the server.
+	Upstream string
+	// PerSecond is the number of requests a second that the server takes from all
+	// hosts together; 0 if it names no limit.
+	PerSecond float64
+}
+
 // FailureClass tells what is known about a failed attempt, in particular
 // whether the upstream may have executed the request.
 type FailureClass string
@@ -149,6 +159,7 @@
 type Tick struct{}
 
 func (Arrived) event()           {}
+func (LimitObserved) event()     {}
 func (FirstPiece) event()        {}
 func (Finished) event()          {}
 func (AttemptFailed) event()     {}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -167,6 +167,7 @@
 		Members:        make([]Member, len(p.members)),
 		Urgency:        urgency(r),
 		ConnectTimeout: min(maxConnectTimeout, (r.Deadline-now)/connectTimeoutDivisor),
+		LeaderLimited:  p.members[0].intake.limit > 0,
 		Choice:         c.placementChoice(p, now),
 	}
 	for i, u := range p.members {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -21,6 +21,7 @@
 	position float64
 
 	health
+	intake intake
 }
 
 // health summarises what requests have shown about an upstream.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,6 +148,9 @@
 // it is an answer to the request.
 func (a *attempt) handleResponse(response *http.Response) outcome {
 	head := platform.DecodeUpstreamResponse(response, a.inbound.request.ID)
+	if head.MatchesRequest && !head.ServerReplaced {
+		a.reportLimit(head)
+	}
 	switch {
 	case !head.MatchesRequest:
 		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errOtherRequest}
@@ -166,6 +169,18 @@
 	}
 }
 
+// reportLimit posts the limit that the upstream names, or that it names none any
+// more.
+func (a *attempt) reportLimit(head platform.UpstreamResponse) {
+	if head.InvalidRequestLimit {
+		a.metrics.Count("gateway_invalid_upstream_headers_total", 1, "header", "request_limit")
+		return
+	}
+	if head.RequestLimit > 0 || a.send.LeaderLimited {
+		a.control.post(balance.LimitObserved{Upstream: a.send.Members[0].Upstream, PerSecond: head.RequestLimit})
+	}
+}
+
 // bufferFailure keeps the upstream's error response, which becomes the answer
 // if no attempt succeeds.
 func (a *attempt) bufferFailure(response *http.Response, head platform.UpstreamResponse) outcome {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -147,6 +147,8 @@
 		c.orders.release(e.Member)
 	case balance.BroadcastReport:
 		c.broadcastReport(e.Report)
+	case balance.UpstreamLimitChanged:
+		logevent.UpstreamLimitChanged.Emit(c.logger, log.Fields{"upstream": e.Upstream, "limit_before": e.Before, "limit": e.PerSecond})
 	case balance.UpstreamStateChanged:
 		logevent.UpstreamExcluded.Emit(c.logger, log.Fields{
 			"upstream": e.Upstream, "belief": e.State, "cause": e.Cause, "failure_share": e.FailureShare, "seen": e.RequestsSeen,
