--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -406,3 +406,54 @@
 	g.Expect(revisions).To(Equal([]platform.Revision{{Era: 3}, inEra}))
 	g.Expect(received.StoreUpdates[0].decode(era).To).To(Equal(inEra))
 }
+
+// laggingGroup is the group of a host that is not among the first of its data
+// centre and receives no updates.
+type laggingGroup struct{}
+
+func (laggingGroup) receivesUpdates(int, time.Duration) bool { return false }
+func (laggingGroup) rank() int                               { return 2 * relayCandidates }
+func (laggingGroup) forward(storeUpdate)                     {}
+
+// TestBackoffFitsTheTimeAfterACut guards against a host that was cut off from the
+// store and is not in line with the others again when it has to be: it adds up the
+// longest pause and a call whose first packet was lost at the end of the cut.
+func TestBackoffFitsTheTimeAfterACut(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		timeAfterCut   = 4 * time.Second
+		synRetransmit  = time.Second
+		longestBackoff = 3.0 / 2
+	)
+	w := newTestWatcher(nil)
+	w.group = laggingGroup{}
+	longest := time.Duration(longestBackoff*float64(w.maxBackoff())) + synRetransmit
+	g.Expect(longest).To(BeNumerically("<", timeAfterCut))
+}
+
+// TestMissedChangesEndABackoff guards against a host that hears from another one
+// that it missed changes and still waits before it calls the store.
+func TestMissedChangesEndABackoff(t *testing.T) {
+	g := NewWithT(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("k", "first", 0)
+	client := platform.NewStore(store.Address(), time.Second, time.Second, func(platform.StoreCall) {})
+	t.Cleanup(client.Close)
+	w := newTestWatcher(client)
+	w.group = laggingGroup{}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.run(ctx)
+	g.Eventually(w.count).Should(Equal(1))
+	store.SetDown(true)
+	const failures = 8
+	calls := store.CallCount()
+	g.Eventually(store.CallCount, 30*time.Second).Should(BeNumerically(">=", calls+failures), "backoff at its longest")
+	store.Put("k", "second", 0)
+	store.SetDown(false)
+	known := w.newestKnownRevision()
+	known.Number += 5
+	w.applyUpdate(storeUpdate{From: known, To: known})
+	g.Eventually(w.count, minStoreBackoff+200*time.Millisecond).Should(Equal(2))
+}
