Call the store soon after a cut

Cause: a host that is not among the first of its data centre paused for up to 4.8 s between failed calls, to spare the store, and nothing ended the pause. It was meant to learn of the store's return from the other hosts, but what it heard from them, that changes were missing, waited for the end of the pause too, and their connections come back late after a cut as well. Class of fault: a wait whose end nobody signals.

Only the servers and hosts have the long pauses now; the configuration is called for every 0.4 to 1.2 s by every host. An answer of the store to any kind, a gap in forwarded updates and a revision that another host knows end the pauses. One kind with short pauses instead of three with long ones leaves the calls of a store that is away about the same by design; that is not measured.

go test ./internal/gateway passed.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -285,6 +285,7 @@
 		return &watcher{
 			store: p.store, kind: kind, changePause: changePause, logger: p.logger, otherWatchers: p.peers.otherWatchers,
 			onList: onList, onChanges: onChanges, group: p.peers, metrics: p.metrics,
+			callsResumed: make(chan struct{}, 1),
 		}
 	}
 	applyConfiguration := p.storeView.updateConfiguration
@@ -294,6 +295,12 @@
 	watchers := []*watcher{p.configurationWatcher, p.serversWatcher, p.hostsWatcher}
 	for i, w := range watchers {
 		w.kindIndex = i
+		w.awaitsOthers = w != p.configurationWatcher
+		w.onRecovered = func() {
+			for _, other := range watchers {
+				other.resumeCalls()
+			}
+		}
 	}
 	p.hostsWatcher.minWait, p.hostsWatcher.listPause = hostsWatchWait, hostsListPause
 	p.peers.applyUpdate = func(update storeUpdate) {
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -198,6 +198,7 @@
 	w.applyMu.Unlock()
 	if gap {
 		w.recordRevisions(update.Objects, update.To.Era)
+		w.resumeCalls()
 		return
 	}
 	w.applyChanges(update.Objects, update.To)
@@ -226,11 +227,11 @@
 	}
 }
 
-// maxBackoff returns the longest pause after a failed call. A host whose
-// updates the others do not rely on calls less often while the store fails: it
-// learns of the store's return from the hosts that go before it.
+// maxBackoff returns the longest pause after a failed call. A host whose updates
+// the others do not rely on calls less often while the store fails, except for one
+// kind: the answer for that kind ends the pauses of the others.
 func (w *watcher) maxBackoff() time.Duration {
-	if w.group == nil {
+	if w.group == nil || !w.awaitsOthers {
 		return maxStoreBackoff
 	}
 	return maxStoreBackoff << min(maxBackoffDoublings, w.group.rank())
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -73,6 +73,7 @@
 	w.watcher = &watcher{
 		store: store, kind: "k", changePause: time.Millisecond, otherWatchers: func() int { return 0 },
 		logger: &log.Logger{Handler: discard.New()}, metrics: telemetry.New(), onList: w.recordList, onChanges: w.recordChanges,
+		callsResumed: make(chan struct{}, 1), onRecovered: func() {},
 	}
 	return w
 }
@@ -441,7 +442,7 @@
 	client := platform.NewStore(store.Address(), time.Second, time.Second, func(platform.StoreCall) {})
 	t.Cleanup(client.Close)
 	w := newTestWatcher(client)
-	w.group = laggingGroup{}
+	w.group, w.awaitsOthers = laggingGroup{}, true
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go w.run(ctx)
@@ -457,3 +458,16 @@
 	w.applyUpdate(storeUpdate{From: known, To: known})
 	g.Eventually(w.count, minStoreBackoff+200*time.Millisecond).Should(Equal(2))
 }
+
+// TestAnswerForOneKindEndsTheBackoffOfOthers guards against a host that reads the
+// servers late although it knows from another call that the store answers.
+func TestAnswerForOneKindEndsTheBackoffOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestWatcher(nil)
+	w.group, w.awaitsOthers = laggingGroup{}, true
+	g.Expect(w.maxBackoff()).To(BeNumerically(">", maxStoreBackoff))
+	time.AfterFunc(10*time.Millisecond, w.resumeCalls)
+	g.Expect(w.pauseCalls(context.Background(), w.maxBackoff())).To(BeTrue())
+	w.resumeCalls()
+	g.Expect(w.pauseCalls(context.Background(), time.Millisecond)).To(BeFalse(), "an answer before the failure does not count")
+}
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -169,6 +169,7 @@
 	w := &watcher{
 		store: client, kind: "config", changePause: time.Millisecond, otherWatchers: func() int { return 1 },
 		logger: &log.Logger{Handler: discard.New()}, metrics: telemetry.New(), onList: recordNewest, onChanges: recordNewest,
+		callsResumed: make(chan struct{}, 1), onRecovered: func() {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -199,6 +200,7 @@
 	w := &watcher{
 		store: client, kind: "config", changePause: time.Millisecond, otherWatchers: func() int { return manyHosts },
 		logger: &log.Logger{Handler: discard.New()}, metrics: telemetry.New(), onList: recordNewest, onChanges: recordNewest,
+		callsResumed: make(chan struct{}, 1), onRecovered: func() {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -68,6 +68,8 @@
 	// has changed since.
 	onList    func([]platform.Object)
 	onChanges func([]platform.Object)
+	// onRecovered is called when the store answers again after failed calls.
+	onRecovered func()
 	// changePause is the pause after a change.
 	changePause time.Duration
 
@@ -87,6 +89,13 @@
 	// the store for each other; nil if there are none.
 	group watchGroup
 
+	// awaitsOthers is set if the pauses after failed calls may grow longer than
+	// maxStoreBackoff, because other watchers of the host call the store more
+	// often and resumeCalls ends the pause once they get an answer.
+	awaitsOthers bool
+	// callsResumed is signalled by resumeCalls.
+	callsResumed chan struct{}
+
 	// storeLost is true from a failed call until the next answer, following
 	// while another host watches the store for this one.
 	storeLost, following bool
@@ -129,6 +138,7 @@
 	}
 	eraBegan := w.newestKnown.Era < revision.Era
 	w.newestKnown = revision
+	w.resumeCalls()
 	if w.cancelWatch != nil && (eraBegan || !w.catchingUp) {
 		w.cancelWatch()
 	}
@@ -212,14 +222,42 @@
 			w.requireList()
 		default:
 			w.recordStoreLost(revision, err)
-			if !sleep(ctx, backoff/2+rand.N(backoff)) {
-				return
+			if w.pauseCalls(ctx, backoff/2+rand.N(backoff)) {
+				backoff = minStoreBackoff
+			} else {
+				backoff = min(2*backoff, w.maxBackoff())
 			}
-			backoff = min(2*backoff, w.maxBackoff())
 		}
 	}
 }
 
+// pauseCalls waits after a failed call for the given time, until the context ends,
+// or until resumeCalls is called. It returns true in the last case.
+func (w *watcher) pauseCalls(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-w.callsResumed:
+	default:
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-w.callsResumed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// resumeCalls ends a pause after a failed call: the store answers again, or changes
+// are known to be missing here.
+func (w *watcher) resumeCalls() {
+	select {
+	case w.callsResumed <- struct{}{}:
+	default:
+	}
+}
+
 // recordStoreLost records that a call failed, and logs it if the call before
 // succeeded.
 func (w *watcher) recordStoreLost(revision platform.Revision, err error) {
@@ -237,6 +275,7 @@
 		return
 	}
 	w.storeLost = false
+	w.onRecovered()
 	logevent.StoreCallRecovered.Emit(w.logger, log.Fields{"kind": w.kind, "revision": revision.Number, "era": revision.Era})
 }
 
