Break connections to servers that have gone dark

Connections to servers have TCP keep-alive now, with a second of pause and two probes a second apart: a request at a dark server ends within 3 s, and its memory is released at once, or lapses.

TestConnectionsDetectSilentServers failed before (2 min 30 s, the system's default) and passes now. It reads the socket's options, since no peer on the loopback goes dark.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -45,6 +45,11 @@
 	// upstreamDialTimeout limits the time to connect to an upstream; every
 	// attempt has a shorter limit of its own.
 	upstreamDialTimeout = time.Second
+	// upstreamSilenceTimeout is how long a server may acknowledge nothing while
+	// its answer is awaited. Servers that hold memory for the request free it
+	// when that ends, which must be within 4 s of the end of the work that used
+	// it.
+	upstreamSilenceTimeout = 3 * time.Second
 )
 
 // Process is one running gateway.
@@ -104,7 +109,9 @@
 		return nil, err
 	}
 	p.newWatchers()
-	httpClient := httpcall.New(httpcall.Config{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamDialTimeout, MaxIdle: 1})
+	httpClient := httpcall.New(httpcall.Config{
+		DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamDialTimeout, MaxIdle: 1, SilenceTimeout: upstreamSilenceTimeout,
+	})
 	p.control.orders = &orderSender{httpClient: httpClient, logger: logger, metrics: p.metrics, post: p.control.post}
 	p.control.broadcastReport = p.peers.broadcastReport
 	p.control.broadcastLimit = p.peers.broadcastLimit
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -33,6 +34,16 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn returns the raw connection. It implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("%T has no raw connection", c.Conn)
+	}
+	raw, err := conn.SyscallConn()
+	return raw, errors.Wrap(err, "get the raw connection")
+}
+
 // writeCount returns the number of writes so far, including failed ones.
 func (c *countedConn) writeCount() uint64 {
 	c.mu.Lock()
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -41,6 +41,19 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the number of unused connections per address.
 	MaxIdle int
+	// SilenceTimeout is after how long a connection breaks whose other end no longer
+	// acknowledges anything, while a response is awaited; 0 leaves it to the system.
+	// A longer one tolerates more lost packets, a shorter one ends requests at
+	// servers that have gone dark sooner. It is rounded down to a multiple of 3 s.
+	SilenceTimeout time.Duration
+}
+
+// keepAlive returns the configuration of TCP keep-alive that breaks a silent
+// connection after SilenceTimeout: a pause and two probes.
+func (c Config) keepAlive() net.KeepAliveConfig {
+	const probes = 2
+	interval := (c.SilenceTimeout / (probes + 1)).Truncate(time.Second)
+	return net.KeepAliveConfig{Enable: interval > 0, Idle: interval, Interval: interval, Count: probes}
 }
 
 // DefaultConfig returns the limits for upstreams in the same region.
@@ -69,7 +82,7 @@
 
 // newTransport returns a transport whose connections count their writes.
 func (c *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.config.DialTimeout}
+	dialer := &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive()}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -257,3 +260,43 @@
 		t.Fatalf("%d connections, want 1 reused and 2 new ones", n)
 	}
 }
+
+// TestConnectionsDetectSilentServers guards against requests that wait for a server
+// that has gone dark until their own time limit, while other servers hold memory
+// for them. It reads the socket's options, as no loopback peer goes dark.
+func TestConnectionsDetectSilentServers(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	config := httpcall.DefaultConfig()
+	config.SilenceTimeout = 3 * time.Second
+	c := httpcall.New(config)
+	options := make(map[int]int)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		raw, err := info.Conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := raw.Control(func(fd uintptr) {
+			for _, option := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL, syscall.TCP_KEEPCNT} {
+				value, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+				if err != nil {
+					t.Error(err)
+				}
+				options[option] = value
+			}
+		}); err != nil {
+			t.Error(err)
+		}
+	}}
+	ctx := httptrace.WithClientTrace(context.Background(), trace)
+	resp, err := c.Do(ctx, newPost(strings.TrimPrefix(server.URL, "http://")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	silence := options[syscall.TCP_KEEPIDLE] + options[syscall.TCP_KEEPINTVL]*options[syscall.TCP_KEEPCNT]
+	if got := time.Duration(silence) * time.Second; got != config.SilenceTimeout {
+		t.Errorf("a silent connection breaks after %v, want %v: options %v", got, config.SilenceTimeout, options)
+	}
+}
