Log a restored store only after its first answer

Event 7045 was logged at the start of a process when the store's first answer named an era above 0, and not when a store of era 0 was restored for the first time after a failed call. The era counts as known from the first good answer on.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -68,8 +68,9 @@
 	// of the process from others and seeds the random choices of the core.
 	boot uint64
 
-	// storeEra is the highest era that an answer of the store has named.
-	storeEra atomic.Uint64
+	// storeEra is the highest era that an answer of the store has named; nil
+	// before the first answer.
+	storeEra atomic.Pointer[uint64]
 	// configurationWatcher, serversWatcher and hostsWatcher each follow the
 	// objects of one kind in the store.
 	configurationWatcher, serversWatcher, hostsWatcher *watcher
@@ -146,15 +147,15 @@
 		p.storeView.recordStoreAnswer()
 	}
 	p.metrics.Count("gateway_store_calls_total", 1, "method", call.Method, "result", result)
-	for {
-		known := p.storeEra.Load()
-		if call.Era <= known {
-			return
-		}
-		if p.storeEra.CompareAndSwap(known, call.Era) {
-			logevent.StoreWentBack.Emit(p.logger, log.Fields{"era_before": known, "era": call.Era})
-			return
-		}
+	if call.Err != nil {
+		return
+	}
+	known := p.storeEra.Load()
+	if known != nil && call.Era <= *known || !p.storeEra.CompareAndSwap(known, &call.Era) {
+		return
+	}
+	if known != nil {
+		logevent.StoreWentBack.Emit(p.logger, log.Fields{"era_before": *known, "era": call.Era})
 	}
 }
 
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -96,6 +96,7 @@
 	h.await(func() bool { return h.allowsKey("r1", "k2") }, "the second configuration in force")
 	store.SetDown(true)
 	h.await(func() bool { return h.logs.hasEvent(7040) }, "a log line on the outage")
+	g.Expect(h.logs.hasEvent(7045)).To(BeFalse(), "no restoration yet")
 	store.Restore(copied)
 	store.PutConfiguration(3, "k3")
 	for i := range 2 * lost {
@@ -105,6 +106,7 @@
 	changed := time.Now()
 	h.await(func() bool { return h.allowsKey("r2", "k3") }, "the third configuration in force")
 	g.Expect(time.Since(changed)).To(BeNumerically("<", applyBound), "%s", h.logs)
+	g.Expect(h.logs.hasEvent(7045)).To(BeTrue(), "a log line on the restoration")
 }
 
 // TestUnreadableConfigurationKeepsTheLastGoodOne writes objects into the store
