Keep a sign of the store's return that arrives during a failing call

Signs are forgotten before a call now and not after it, so one that arrives while the call fails leads to one call at once.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -210,6 +210,7 @@
 			sleep(ctx, followPollInterval)
 			continue
 		}
+		w.forgetResumed()
 		revision := w.resumeRevision()
 		err := w.fetchOnce(ctx, revision)
 		switch {
@@ -232,12 +233,9 @@
 }
 
 // pauseCalls waits after a failed call for the given time, until the context ends,
-// or until resumeCalls is called. It returns true in the last case.
+// or until resumeCalls is called. It returns true in the last case, also if that
+// was during the call.
 func (w *watcher) pauseCalls(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-w.callsResumed:
-	default:
-	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -249,6 +247,14 @@
 	return false
 }
 
+// forgetResumed forgets that resumeCalls was called before the next call.
+func (w *watcher) forgetResumed() {
+	select {
+	case <-w.callsResumed:
+	default:
+	}
+}
+
 // resumeCalls ends a pause after a failed call: the store answers again, or changes
 // are known to be missing here.
 func (w *watcher) resumeCalls() {
