Use a server again that stays listed after a restore

Found in reading the diff: a registration that a restored store lists again, of a server that had been removed, was left out until the server wrote a new one. The entry of a live server does not change as long as only its sequence does, so such a server could stay out for good.

It counts as alive now if it stays listed for 10 s: the entry of a server that is gone lapses before.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -26,6 +26,10 @@
 	// removalMemory is how long the removal of a server is remembered. It exceeds
 	// the age of a copy from which the store is restored, which is some seconds.
 	removalMemory = time.Minute
+	// doubtTime is how long a server that was removed, and that a restored store
+	// lists again, must stay listed until it counts as alive. The entry of one that
+	// is gone lapses before, after three missed heartbeats.
+	doubtTime = 10 * time.Second
 )
 
 // registration is what a server last wrote about itself, with the era of the
@@ -51,6 +55,13 @@
 	removedAt time.Duration
 }
 
+// doubt is a registration that counts from the time until on, unless it is removed
+// before.
+type doubt struct {
+	registration
+	until time.Duration
+}
+
 // serverRegistry holds the registrations of the servers as last read from the
 // store. It keeps servers for a while whose registrations are missing after an
 // outage.
@@ -58,6 +69,9 @@
 	entries map[string]registration
 	// removed holds the servers that were removed lately, by id.
 	removed map[string]removal
+	// doubtful holds registrations that a restored store lists again although the
+	// servers had been removed, by id.
+	doubtful map[string]doubt
 	// era is the newest era of the store in which a registration was read.
 	era uint64
 	// keptUntil holds, by server id, until when entries that are no longer
@@ -70,7 +84,10 @@
 
 // newServerRegistry returns an empty registry.
 func newServerRegistry() *serverRegistry {
-	return &serverRegistry{entries: make(map[string]registration), removed: make(map[string]removal), keptUntil: make(map[string]time.Duration)}
+	return &serverRegistry{
+		entries: make(map[string]registration), removed: make(map[string]removal),
+		doubtful: make(map[string]doubt), keptUntil: make(map[string]time.Duration),
+	}
 }
 
 // recordOutageEnd records that the store answers again after an outage.
@@ -91,6 +108,11 @@
 			removed = append(removed, id)
 		}
 	}
+	for id := range r.doubtful {
+		if !present[id] {
+			delete(r.doubtful, id)
+		}
+	}
 	r.remove(removed, now)
 }
 
@@ -104,8 +126,12 @@
 	}
 	r.era = max(r.era, u.era)
 	if u.outdatedBy(r.removed[u.ID].registration) {
+		if _, known := r.doubtful[u.ID]; !known {
+			r.doubtful[u.ID] = doubt{registration: u, until: now + doubtTime}
+		}
 		return
 	}
+	delete(r.doubtful, u.ID)
 	if known := r.entries[u.ID]; u.outdatedBy(known) {
 		u = known
 	}
@@ -120,6 +146,7 @@
 func (r *serverRegistry) remove(ids []string, now time.Duration) {
 	massRemoval := len(ids) >= minMassRemovalCount && float64(len(ids)) >= massRemovalShare*float64(len(r.entries))
 	for _, id := range ids {
+		delete(r.doubtful, id)
 		u, known := r.entries[id]
 		_, kept := r.keptUntil[id]
 		switch {
@@ -146,8 +173,9 @@
 	delete(r.keptUntil, id)
 }
 
-// removeExpired removes the servers that did not register again in time, and
-// reports whether there were any.
+// removeExpired removes the servers that did not register again in time, admits
+// those that a restored store has listed for long enough, and reports whether there
+// were any.
 func (r *serverRegistry) removeExpired(now time.Duration) bool {
 	changed := false
 	for id, until := range r.keptUntil {
@@ -156,6 +184,14 @@
 			changed = true
 		}
 	}
+	for id, d := range r.doubtful {
+		if now >= d.until {
+			delete(r.doubtful, id)
+			delete(r.removed, id)
+			r.entries[id] = d.registration
+			changed = true
+		}
+	}
 	for id, removed := range r.removed {
 		if now-removed.removedAt >= removalMemory {
 			delete(r.removed, id)
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -180,7 +180,8 @@
 
 // applyUpdate applies an update that another host forwarded. If changes before
 // it are missing here, as they always are when a new era begins, the update is
-// applied all the same, and the whole list is read again. Before the first list, only its revisions are recorded.
+// applied all the same, and the whole list is read again. Before the first list,
+// only its revisions are recorded.
 func (w *watcher) applyUpdate(update storeUpdate) {
 	w.applyMu.Lock()
 	gap := w.appliedRevision.Before(update.From)
--- a/internal/gateway/storeview_test.go
+++ b/internal/gateway/storeview_test.go
@@ -311,6 +311,31 @@
 	g.Expect(states()).To(HaveKeyWithValue("leaving", false), "within an era, the store's order of changes holds")
 }
 
+// TestServerThatStaysListedAfterARestoreIsUsedAgain guards against leaving out a
+// live server whose removal was forgotten and whose entry never changes again.
+func TestServerThatStaysListedAfterARestoreIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := newServerRegistry()
+	entry := func(era uint64, id string) registration {
+		return registration{Upstream: balance.Upstream{ID: id, Incarnation: 7}, sequence: 3, era: era}
+	}
+	all := []registration{entry(1, "alive"), entry(1, "gone"), entry(1, "other"), entry(1, "another"), entry(1, "third"), entry(1, "fourth"), entry(1, "fifth")}
+	r.replace(all, 0)
+	r.remove([]string{"alive"}, time.Second)
+	r.remove([]string{"gone"}, time.Second)
+	for i := range all {
+		all[i].era = 2
+	}
+	r.replace(all, 2*time.Second)
+	g.Expect(r.list()).To(HaveLen(len(all)-2), "what the copy has forgotten")
+	r.remove([]string{"gone"}, 6*time.Second)
+	r.removeExpired(2*time.Second + doubtTime - 1)
+	g.Expect(r.list()).To(HaveLen(len(all) - 2))
+	g.Expect(r.removeExpired(2*time.Second + doubtTime)).To(BeTrue())
+	g.Expect(r.entries).To(HaveKey("alive"))
+	g.Expect(r.entries).NotTo(HaveKey("gone"))
+}
+
 // TestServerThatRegistersAgainWithinOneUpdateIsKept guards against removing a
 // server whose removal and new registration arrive together.
 func TestServerThatRegistersAgainWithinOneUpdateIsKept(t *testing.T) {
