Spread requests for the free places of limited servers

Each free place was taken by all requests that arrived before their hosts knew of each other, and waiting requests took turns at too high a rate.

A request takes a free place now with a probability that falls with the requests of all hosts that may be looking for one: the demand, estimated from this host's own, times how long the request has waited and how long reports take. A waiting request tries once a tick.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -42,6 +42,17 @@
 	b.currentBucket(now, window).requests++
 }
 
+// requestRate returns the number of requests a second in the last window.
+func (b *retryBudget) requestRate(now, window time.Duration) float64 {
+	requests := 0
+	for _, bucket := range b.buckets {
+		if now-bucket.start <= window {
+			requests += bucket.requests
+		}
+	}
+	return float64(requests) / window.Seconds()
+}
+
 // trySpend counts one retry if the requests and retries of the last window
 // allow it, and reports whether they do.
 func (b *retryBudget) trySpend(now time.Duration, config *Config, hosts int) bool {
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -30,6 +30,11 @@
 // Policy names a way of placing requests on upstreams.
 type Policy string
 
+// TickInterval is the time between two ticks of a core. At each tick it checks its
+// queue and its memory reservations and emits the reports that are due to other
+// hosts. The interval is shorter than one pass of an engine.
+const TickInterval = 20 * time.Millisecond
+
 // The placement policies.
 const (
 	// PolicyPredict places requests by predicted pauses and first events.
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -41,6 +41,8 @@
 	// is when a report last listed all work.
 	pendingReport  WorkReport
 	lastFullReport time.Duration
+	// ticking is set during the step of a Tick.
+	ticking bool
 	// effects collects the effects of the current step.
 	effects []Effect
 }
@@ -70,6 +72,7 @@
 // the next.
 func (c *Core) Step(now time.Duration, event Event) []Effect {
 	c.effects = nil
+	_, c.ticking = event.(Tick)
 	switch e := event.(type) {
 	case Arrived:
 		c.handleArrived(e, now)
@@ -97,22 +100,19 @@
 		c.handleTick(now)
 	}
 	c.serveWaiting(now)
-	_, onTick := event.(Tick)
-	c.sendReport(now, onTick)
+	c.sendReport(now, c.ticking)
 	return c.effects
 }
 
 // emit adds an effect to those that the current step returns.
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
-// handleTick removes work of other hosts that has expired, decides which limited
-// servers waiting requests may use, and renews the memory reservations of this
-// host's requests.
+// handleTick removes work of other hosts that has expired, and renews the memory
+// reservations of this host's requests.
 func (c *Core) handleTick(now time.Duration) {
 	for _, u := range c.upstreams {
 		u.removeExpired(now)
 	}
-	c.drawWaitingTurns()
 	c.renewReservations(now)
 }
 
--- a/internal/balance/intake.go
+++ b/internal/balance/intake.go
@@ -8,10 +8,10 @@
 	// smaller one leaves more of what servers tolerate for requests that several
 	// hosts begin before they know of each other's.
 	intakeBurst = 500 * time.Millisecond
-	// turnsPerTick is the mean number of hosts that may give a waiting request to
-	// the same limited server at the same tick. Requests that wait at many hosts
-	// would otherwise all be sent once the server may get one.
-	turnsPerTick = 2.0
+	// placeTakers is the mean number of requests that take the same free place of a
+	// limited server before their hosts know of each other. With a larger value a
+	// free place is used sooner, and more often by several requests.
+	placeTakers = 0.5
 )
 
 // intake bounds the requests that a server gets from all hosts together while it
@@ -24,8 +24,6 @@
 	// level is the number of requests in the bucket at the time updatedAt.
 	level     float64
 	updatedAt time.Duration
-	// waitingTurn is set while a request that waits on this host may be sent.
-	waitingTurn bool
 }
 
 // capacity returns the number of requests that the bucket holds.
@@ -50,7 +48,7 @@
 // recordStart counts a request that a host begins on the server.
 func (i *intake) recordStart(now time.Duration) {
 	if i.limit > 0 {
-		i.level, i.updatedAt, i.waitingTurn = i.levelAt(now)+1, now, false
+		i.level, i.updatedAt = i.levelAt(now)+1, now
 	}
 }
 
@@ -64,10 +62,28 @@
 	return now + time.Duration(excess/i.limit*float64(time.Second))
 }
 
-// admits reports whether the server may get another request. The request waits on
-// this host or has just arrived.
-func (i *intake) admits(waiting bool, now time.Duration) bool {
-	return i.limit == 0 || i.admitsAt(now) <= now && (!waiting || i.waitingTurn)
+// admits reports whether a request may be sent to an upstream under the limit that
+// it names. A request takes a free place only with a probability that falls with
+// the number of requests that may be looking for one, since their hosts do not
+// know of each other's choices at once. A waiting request tries once a tick.
+func (c *Core) admits(u *upstream, r *request, now time.Duration) bool {
+	if u.intake.limit == 0 {
+		return true
+	}
+	if u.intake.admitsAt(now) > now || r.waiting && !c.ticking {
+		return false
+	}
+	return c.random.Float64()*c.contenders(r, now) < placeTakers
+}
+
+// contenders returns the expected number of requests of all hosts that look for a
+// place at the same time as this one: those that arrived since it has waited, and
+// while hosts do not know of each other's choices. A host sends one at a time.
+func (c *Core) contenders(r *request, now time.Duration) float64 {
+	hosts := float64(c.otherHosts + 1)
+	demand := hosts * c.budgetOfService(r.Service).requestRate(now, c.config.RetryWindow)
+	unaware := c.reportDelay + TickInterval
+	return min(hosts, demand*(now-r.queuedAt+unaware).Seconds())
 }
 
 // handleLimitObserved records the limit that a server names.
@@ -80,18 +96,6 @@
 	u.intake.setLimit(e.PerSecond, now)
 }
 
-// drawWaitingTurns draws for each limited server whether requests that wait on this
-// host may be sent to it.
-func (c *Core) drawWaitingTurns() {
-	for _, pool := range c.servicePools {
-		for _, u := range pool.upstreams {
-			if u.intake.limit > 0 {
-				u.intake.waitingTurn = c.random.Float64()*float64(c.otherHosts+1) < turnsPerTick
-			}
-		}
-	}
-}
-
 // exceedsLimits reports whether all servers of a request's service name limits that
 // leave no place for it in time: what they take until the request would be refused,
 // divided among the hosts, is less than what waits on this host already.
--- a/internal/balance/intake_test.go
+++ b/internal/balance/intake_test.go
@@ -107,13 +107,34 @@
 	}
 }
 
+// TestLimitHoldsWhenAllServersNameOne guards against many hosts that all look for
+// the few free places of a service whose servers have all named limits.
+func TestLimitHoldsWhenAllServersNameOne(t *testing.T) {
+	for seed := range uint64(3) {
+		limitedFleet{hosts: 80, servers: 60, limited: 60, limit: 1, perSecond: 120, reportDelay: manyHostsReportDelay}.run(t, seed)
+	}
+}
+
+// TestFreePlacesOfLimitedServersAreUsed guards against requests that are refused
+// although servers take more than there is, because each host leaves the free
+// places to the others.
+func TestFreePlacesOfLimitedServersAreUsed(t *testing.T) {
+	for _, hosts := range []int{8, 80} {
+		sim := limitedFleet{hosts: hosts, servers: 6, limited: 6, limit: 6, perSecond: 20, reportDelay: manyHostsReportDelay}.run(t, 1)
+		t.Logf("%d hosts: %.3f in time", hosts, sim.inTimeShare("short"))
+		if got := sim.inTimeShare("short"); got < 0.8 {
+			t.Errorf("%d hosts: %.3f of the requests in time, want at least 0.8", hosts, got)
+		}
+	}
+}
+
 // TestEndedLimitNoLongerBinds guards against a server that is left out after it
 // has stopped naming a limit.
 func TestEndedLimitNoLongerBinds(t *testing.T) {
 	i := intake{}
 	i.setLimit(2, 0)
-	if i.admits(false, 0) || !i.admits(false, time.Second) || i.admits(true, time.Second) {
-		t.Error("a server that begins to name a limit is full, takes an arriving request later, and a waiting one at its turn")
+	if at := i.admitsAt(0); at != 500*time.Millisecond {
+		t.Errorf("a server that begins to name a limit takes a request at %v, want 0.5s, since it counts as full", at)
 	}
 	i.recordStart(time.Second)
 	i.recordStart(time.Second)
@@ -121,7 +142,7 @@
 		t.Errorf("admits at %v, want 1.5s, when half a second's worth of the limit and one request are left", got)
 	}
 	i.setLimit(0, time.Second)
-	if !i.admits(true, time.Second) {
-		t.Error("not admitted without a limit")
+	if at := i.admitsAt(time.Second); at != time.Second {
+		t.Errorf("admits at %v without a limit, want at once", at)
 	}
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// tickInterval is the time between two ticks. At each tick the core checks
-	// its queue and its memory reservations and emits the reports that are due
-	// to other hosts. The interval is shorter than one pass of an engine.
-	tickInterval = 20 * time.Millisecond
 	// eventQueueSize limits the number of events that wait for the control
 	// thread; post blocks when the queue is full.
 	eventQueueSize = 4096
@@ -96,7 +92,7 @@
 
 // run passes events and ticks to the core until the context ends.
 func (c *control) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(balance.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
