--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -158,8 +158,9 @@
 // retryAfter returns the time after which the caller of a refused request may
 // usefully try again, or 0 if no wait can help. For lack of capacity that is
 // when the first server has finished its prefill backlog and may get another
-// request by the limit that it names, and not sooner than the time for which this request has waited. The time for which there was no
-// capacity is the best estimate of how long there will be none.
+// request by the limit that it names, and not sooner than the time for which this
+// request has waited. The time for which there was no capacity is the best estimate
+// of how long there will be none.
 func (c *Core) retryAfter(r *request, code ErrorCode, now time.Duration) time.Duration {
 	switch code {
 	case CodePromptTooLarge, CodeTooLate:
