--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -176,7 +177,7 @@
 	x.upstream = send.Members[0].Upstream
 	logevent.RoutedSent.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "route": x.inbound.route.Name, "attempt": send.Attempt, "upstream": x.upstream,
-		"helpers": len(send.Members) - 1, "reserved": send.Members[0].ReservedTokens, "prompt": x.inbound.request.PromptTokens,
+		"parts": strings.Join(x.inbound.request.SharedParts, ","), "helpers": len(send.Members) - 1, "reserved": send.Members[0].ReservedTokens, "prompt": x.inbound.request.PromptTokens,
 		"configuration": x.inbound.configuration.Version, "configuration_age_ms": (x.clock.Now() - x.inbound.configuration.activeSince).Milliseconds(),
 		"predicted_ms": send.Choice.PredictedFirstPiece.Milliseconds(), "backlog_ms": send.Choice.Backlog.Milliseconds(),
 		"requests_there": send.Choice.RequestsKnown, "from_peers": send.Choice.RequestsFromPeers, "oldest_peer_ms": send.Choice.OldestReportAge.Milliseconds(),
--- a/internal/logevent/gateway.go
+++ b/internal/logevent/gateway.go
@@ -4,7 +4,7 @@
 
 // Events of the gateway: 7000 to 7999.
 var (
-	RoutedSent              = declare(7000, log.InfoLevel, "request sent", "A request was sent to an upstream; the fields contain the values on which the choice was based.")
+	RoutedSent              = declare(7000, log.InfoLevel, "request sent", "A request was sent to an upstream; the fields contain the values on which the choice was based. Field parts names the parts of the prompt that other requests may share.")
 	RoutedDelivered         = declare(7001, log.InfoLevel, "request delivered", "The complete answer was passed on to the caller.")
 	RoutedAttemptFailed     = declare(7002, log.InfoLevel, "attempt failed", "An upstream gave no complete answer; class says what is known. Another attempt, a refusal or a failure follows.")
 	RoutedRefused           = declare(7003, log.InfoLevel, "routed request refused", "The host itself answered a request without running it; the code gives the reason.")
