Keep prompts that crash servers away from the others

Cause: what failed was remembered by server and by data centre only. The request as the cause of a failure had no place in the core, so every request with the part, and every repeat, took a further server that looked healthy.

Change: internal/quarantine keeps the shared parts of prompts that a server had hardly begun to answer when it crashed, less those seen in sound answers within 10 s. A part under which three servers crashed at different moments is quarantined; hosts tell each other crashes, verdicts and sound parts. Requests with it are refused at once, in the queue, before a repeat and after a reservation too. Verdicts are announced again for hosts that start or were cut off, tried by one request after 30 s, 2 min and 8 min, and end with the first sound answer.

Why it works: the crashes of all hosts add up, so three are enough wherever the requests come in; a part that only came along is shown to be sound by the next prompt with it and without the bad one.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -3,6 +3,10 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/quarantine"
 )
 
 // Core makes the placement decisions of one host. It is not safe for concurrent
@@ -37,6 +41,11 @@
 	// computed anew for every placement.
 	busyShare float64
 
+	// quarantine holds the parts of prompts that crash servers. answering lists the
+	// attempts whose answers have begun less than soundAnswerTime ago.
+	quarantine *quarantine.Table
+	answering  []answeringAttempt
+
 	// pendingReport collects what the next report will contain. lastFullReport
 	// is when a report last listed all work.
 	pendingReport  WorkReport
@@ -54,9 +63,15 @@
 	if err := config.Validate().Err(); err != nil {
 		return nil, err
 	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	table, err := quarantine.New(quarantine.DefaultConfig(), random)
+	if err != nil {
+		return nil, errors.Wrap(err, "configure the quarantine")
+	}
 	return &Core{
 		config:       config,
-		random:       rand.New(rand.NewPCG(seed, seed)),
+		random:       random,
+		quarantine:   table,
 		bootNumber:   bootNumber,
 		upstreams:    make(map[string]*upstream),
 		servicePools: make(map[string]*servicePool),
@@ -95,7 +110,12 @@
 	case ReportReceived:
 		c.receiveReport(e.Host, e.Report, now)
 	case PeersChanged:
+		if e.OtherHosts > c.otherHosts {
+			c.quarantine.AnnounceSoon(now)
+		}
 		c.otherHosts, c.reportDelay = e.OtherHosts, e.ReportDelay
+	case QuarantineReported:
+		c.receiveQuarantineReport(e.Report, now)
 	case Tick:
 		c.handleTick(now)
 	}
@@ -114,6 +134,7 @@
 		u.removeExpired(now)
 	}
 	c.renewReservations(now)
+	c.updateQuarantine(now)
 }
 
 // Waiting returns the number of requests in the queue. The gateway exports it
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/quarantine"
+)
 
 // Effect is an output of Core.Step: something that the caller of the core must
 // do.
@@ -30,6 +34,9 @@
 	// CodeRetryBudgetSpent means that another attempt would exceed the retry
 	// budget.
 	CodeRetryBudgetSpent ErrorCode = "retry_budget_spent"
+	// CodePromptQuarantined means that servers crashed under prompts with a part
+	// that this one has.
+	CodePromptQuarantined ErrorCode = "prompt_quarantined"
 	// CodeTimeLimit means that the request's time limit has passed.
 	CodeTimeLimit ErrorCode = "time_limit"
 )
@@ -123,6 +130,9 @@
 	// QueueLength the number of requests that wait there now.
 	QueueTime   time.Duration
 	QueueLength int
+	// QuarantinedPart is the part of the prompt that is quarantined, with
+	// CodePromptQuarantined.
+	QuarantinedPart string
 }
 
 // Fail is the final answer to a request that may have been executed.
@@ -167,7 +177,35 @@
 	Before, PerSecond float64
 }
 
+// BroadcastQuarantine tells all other hosts what this one has found out about parts
+// of prompts.
+type BroadcastQuarantine struct{ Report QuarantineReport }
+
+// QuarantineChanged reports that a part of prompts was quarantined, that a request
+// with it was let through as a trial, or that the quarantine has ended.
+type QuarantineChanged struct {
+	// State is quarantined, trial or released.
+	State QuarantineState
+	// Verdict is the quarantine; only its Part is set if State is QuarantineReleased.
+	Verdict quarantine.Verdict
+	// RequestID is the caller's name for the request that was let through, or that
+	// showed the part to be sound; empty if another host reported it.
+	RequestID string
+}
+
+// QuarantineState names a change of a quarantine.
+type QuarantineState string
+
+// The changes of a quarantine.
+const (
+	QuarantineBegun    QuarantineState = "quarantined"
+	QuarantineTrial    QuarantineState = "trial"
+	QuarantineReleased QuarantineState = "released"
+)
+
 func (Send) effect()                 {}
+func (BroadcastQuarantine) effect()  {}
+func (QuarantineChanged) effect()    {}
 func (UpstreamLimitChanged) effect() {}
 func (ReserveMemory) effect()        {}
 func (ReleaseMemory) effect()        {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -19,6 +19,8 @@
 	Route *route.Route
 	// Service is the name of the service that is to answer.
 	Service string
+	// SharedParts names the parts of the prompt that other requests may have too.
+	SharedParts []string
 	// PromptTokens is the length of the prompt, AnswerTokens the length that is
 	// planned for the answer. PromptTokens is 0 if the request has no prompt.
 	PromptTokens int
@@ -42,6 +44,9 @@
 type Finished struct {
 	RequestNumber uint64
 	Attempt       int
+	// Success is set when the answer was a success and not a failure that the
+	// upstream reported.
+	Success bool
 }
 
 // LimitObserved reports the limit that a server named in an answer to this host, or
@@ -102,6 +107,9 @@
 	FailedAddress string
 	// PartlyDelivered is set when the caller has received a part of the answer.
 	PartlyDelivered bool
+	// ConnectionBroken is set when the leader closed or reset the connection before
+	// its answer was complete.
+	ConnectionBroken bool
 }
 
 // CallerGone reports that the caller closed its connection.
@@ -151,6 +159,9 @@
 	Report WorkReport
 }
 
+// QuarantineReported carries what another host has found out about parts of prompts.
+type QuarantineReported struct{ Report QuarantineReport }
+
 // PeersChanged carries the number of other hosts, and the time that their
 // reports take to arrive here.
 type PeersChanged struct {
@@ -161,15 +172,16 @@
 // Tick reports that time has passed. The caller of the core sends it regularly.
 type Tick struct{}
 
-func (Arrived) event()           {}
-func (LimitObserved) event()     {}
-func (FirstPiece) event()        {}
-func (Finished) event()          {}
-func (AttemptFailed) event()     {}
-func (CallerGone) event()        {}
-func (ReservationResult) event() {}
-func (UpstreamsChanged) event()  {}
-func (ServicesChanged) event()   {}
-func (ReportReceived) event()    {}
-func (PeersChanged) event()      {}
-func (Tick) event()              {}
+func (Arrived) event()            {}
+func (LimitObserved) event()      {}
+func (FirstPiece) event()         {}
+func (Finished) event()           {}
+func (AttemptFailed) event()      {}
+func (CallerGone) event()         {}
+func (ReservationResult) event()  {}
+func (UpstreamsChanged) event()   {}
+func (ServicesChanged) event()    {}
+func (ReportReceived) event()     {}
+func (PeersChanged) event()       {}
+func (QuarantineReported) event() {}
+func (Tick) event()               {}
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -126,7 +127,7 @@
 		t.Fatalf("%d and %d results", len(a.results), len(b.results))
 	}
 	for i := range a.results {
-		if a.results[i] != b.results[i] {
+		if !reflect.DeepEqual(a.results[i], b.results[i]) {
 			t.Fatalf("result %d: %+v and %+v", i, a.results[i], b.results[i])
 		}
 	}
--- /dev/null
+++ b/internal/balance/quarantine.go
@@ -0,0 +1,182 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutline/chestnutline/internal/quarantine"
+)
+
+const (
+	// youngAnswerTime is the time from the first piece of an answer during which a
+	// crash of its server may still be due to its prompt.
+	youngAnswerTime = 250 * time.Millisecond
+	// soundAnswerTime is the time from the first piece of an answer after which its
+	// prompt is taken to be sound.
+	soundAnswerTime = 500 * time.Millisecond
+	// maxPeerSilence is the time without a report after which another host is not
+	// counted on for trials.
+	maxPeerSilence = 3 * time.Second
+	// answeringHosts is the mean number of hosts that answer a report which suspects a
+	// part that they know to be sound.
+	answeringHosts = 4
+)
+
+// QuarantineReport is what one host tells the others about parts of prompts. Hosts
+// exchange it as an array, so the order of the fields is part of the protocol.
+type QuarantineReport struct {
+	Crashes  []quarantine.Crash
+	Verdicts []quarantine.Verdict
+	// Sound lists parts that were seen in a sound answer although crashes or a
+	// verdict had been reported for them.
+	Sound []string
+}
+
+// empty reports whether there is nothing to tell.
+func (q *QuarantineReport) empty() bool {
+	return len(q.Crashes)+len(q.Verdicts)+len(q.Sound) == 0
+}
+
+// answeringAttempt is an attempt whose answer has begun a short while ago.
+type answeringAttempt struct {
+	request *request
+	attempt int
+	begunAt time.Duration
+}
+
+// QuarantinedParts returns the number of quarantined parts of prompts. The gateway
+// exports it as a gauge.
+func (c *Core) QuarantinedParts() int { return c.quarantine.Len() }
+
+// isQuarantined reports whether a quarantine holds for the prompt of a request.
+func (c *Core) isQuarantined(r *request, now time.Duration) bool {
+	_, quarantined := c.quarantine.Match(r.SharedParts, now)
+	return quarantined
+}
+
+// beginTrial lets a request through although its prompt is quarantined, if the hold
+// is over and this host is responsible for the trials of the part.
+func (c *Core) beginTrial(r *request, now time.Duration) bool {
+	v, quarantined := c.quarantine.Match(r.SharedParts, now)
+	if !quarantined || v.HoldLeft > 0 || !c.isTrialHost(v.Part, now) {
+		return false
+	}
+	v, r.isTrial = c.quarantine.BeginTrial(v.Part, now)
+	if r.isTrial {
+		c.emit(QuarantineChanged{State: QuarantineTrial, Verdict: v, RequestID: r.ID})
+		c.broadcastQuarantine(QuarantineReport{Verdicts: []quarantine.Verdict{v}})
+	}
+	return r.isTrial
+}
+
+// isTrialHost reports whether this host comes first, among the hosts that it hears
+// from, in the order of hosts that belongs to a part.
+func (c *Core) isTrialHost(part string, now time.Duration) bool {
+	own := xxhash.Sum64String(part + "/" + c.config.Host)
+	for name, p := range c.peers {
+		if now-p.lastReceived <= maxPeerSilence && xxhash.Sum64String(part+"/"+name) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// recordCrash records that an upstream broke off its answer to a request. It says
+// nothing about the prompt if the answer had been under way for some time.
+func (c *Core) recordCrash(r *request, u *upstream, now time.Duration) {
+	if r.firstPieceAt > 0 && now-r.firstPieceAt > youngAnswerTime || len(r.SharedParts) == 0 {
+		return
+	}
+	crash, verdicts := c.quarantine.RecordCrash(quarantine.Crash{
+		Server: fmt.Sprintf("%s/%d", u.ID, u.Incarnation), Host: c.config.Host, Parts: r.SharedParts,
+	}, now)
+	if len(crash.Parts) > 0 {
+		c.broadcastQuarantine(QuarantineReport{Crashes: []quarantine.Crash{crash}})
+	}
+	c.reportVerdicts(verdicts)
+}
+
+// reportVerdicts emits the verdicts that this host has reached. The other hosts
+// reach them from the same crashes.
+func (c *Core) reportVerdicts(verdicts []quarantine.Verdict) {
+	for _, v := range verdicts {
+		c.emit(QuarantineChanged{State: QuarantineBegun, Verdict: v})
+	}
+}
+
+// recordAnswerBegun notes the first piece of an answer.
+func (c *Core) recordAnswerBegun(r *request, now time.Duration) {
+	if r.firstPieceAt > 0 || len(r.SharedParts) == 0 {
+		return
+	}
+	r.firstPieceAt = now
+	c.answering = append(c.answering, answeringAttempt{request: r, attempt: r.attempt, begunAt: now})
+}
+
+// recordSoundParts records that the prompt of a request is being answered, or was.
+func (c *Core) recordSoundParts(r *request, now time.Duration) {
+	cleared, released := c.quarantine.RecordSound(r.SharedParts, now)
+	c.reportReleased(released, r.ID)
+	c.broadcastQuarantine(QuarantineReport{Sound: cleared})
+}
+
+// reportReleased emits the ends of quarantines.
+func (c *Core) reportReleased(parts []string, requestID string) {
+	for _, part := range parts {
+		c.emit(QuarantineChanged{State: QuarantineReleased, Verdict: quarantine.Verdict{Part: part}, RequestID: requestID})
+	}
+}
+
+// updateQuarantine records the answers that have been under way for
+// soundAnswerTime, and announces the verdicts that are due.
+func (c *Core) updateQuarantine(now time.Duration) {
+	for len(c.answering) > 0 && now-c.answering[0].begunAt > soundAnswerTime {
+		begun := c.answering[0]
+		c.answering = c.answering[1:]
+		if c.requestOfAttempt(begun.request.RequestNumber, begun.attempt) == begun.request {
+			c.recordSoundParts(begun.request, now)
+		}
+	}
+	if due := c.quarantine.Due(now); len(due) > 0 {
+		c.broadcastQuarantine(QuarantineReport{Verdicts: due})
+	}
+}
+
+// receiveQuarantineReport applies what another host has found out.
+func (c *Core) receiveQuarantineReport(report QuarantineReport, now time.Duration) {
+	var answer QuarantineReport
+	for _, crash := range report.Crashes {
+		suspected, verdicts := c.quarantine.RecordCrash(crash, now)
+		c.reportVerdicts(verdicts)
+		for _, part := range crash.Parts {
+			if !slices.Contains(suspected.Parts, part) {
+				answer.Sound = append(answer.Sound, part)
+			}
+		}
+	}
+	for _, v := range report.Verdicts {
+		known := c.quarantine.Len()
+		switch {
+		case !c.quarantine.Adopt(v, now):
+			answer.Sound = append(answer.Sound, v.Part)
+		case c.quarantine.Len() > known:
+			c.emit(QuarantineChanged{State: QuarantineBegun, Verdict: v})
+		}
+	}
+	_, released := c.quarantine.RecordSound(report.Sound, now)
+	c.reportReleased(released, "")
+	// A few hosts answer a report that is wrong, and not all of them.
+	if c.random.Float64()*float64(c.otherHosts+1) < answeringHosts {
+		c.broadcastQuarantine(answer)
+	}
+}
+
+// broadcastQuarantine tells the other hosts something, if there are any.
+func (c *Core) broadcastQuarantine(report QuarantineReport) {
+	if c.otherHosts > 0 && !report.empty() {
+		c.emit(BroadcastQuarantine{Report: report})
+	}
+}
--- /dev/null
+++ b/internal/balance/quarantine_test.go
@@ -0,0 +1,146 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Bounds on requests with a part that crashes servers, as the users state them.
+const (
+	freeCrashes          = 5
+	settlingAfterCrashes = 3 * time.Second
+	maxLaterArrivals     = 3
+	minServedShare       = 0.5
+)
+
+// promptTraffic sends short prompts to random hosts at the given rate from a time
+// on: the share bad of them with the crashing part, all with a part that every
+// prompt has, and with one of a few callers.
+func (sim *simulation) promptTraffic(random *rand.Rand, perSecond, bad float64, from, until time.Duration) {
+	var next func()
+	next = func() {
+		if sim.now > until {
+			return
+		}
+		parts := []string{"all", fmt.Sprint("caller-", random.IntN(10))}
+		if random.Float64() < bad {
+			parts = append(parts, sim.crashingPart)
+		}
+		sim.sendRequest(random.IntN(len(sim.cores)), shortRoute, 3000+random.IntN(4000), 200+random.IntN(1500), parts...)
+		sim.schedule(time.Duration(random.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	sim.schedule(from-sim.now, next)
+}
+
+// servedShare returns the share of sound requests sent from one time to another that
+// were served.
+func (sim *simulation) servedShare(from, until time.Duration) float64 {
+	all, served := 0, 0
+	for _, r := range sim.results {
+		if r.sentAt < from || r.sentAt >= until || slices.Contains(r.parts, sim.crashingPart) {
+			continue
+		}
+		all++
+		if r.delivered {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, all))
+}
+
+// laterArrivals returns the number of requests with the crashing part that reached
+// servers when the bound on them was in force.
+func (sim *simulation) laterArrivals() int {
+	if len(sim.crashes) < freeCrashes {
+		return 0
+	}
+	inForce := sim.crashes[freeCrashes-1] + settlingAfterCrashes
+	later := 0
+	for _, at := range sim.crashingArrivals {
+		if at > inForce {
+			later++
+		}
+	}
+	return later
+}
+
+// TestCrashingPartIsQuarantinedInFleetsOfAllSizes guards against hosts that each
+// have to see the crashes for themselves.
+func TestCrashingPartIsQuarantinedInFleetsOfAllSizes(t *testing.T) {
+	type fleet struct {
+		hosts, servers int
+		reportDelay    time.Duration
+	}
+	fleets := []fleet{{2, 6, directDelayForTests}, {8, 18, directDelayForTests}, {24, 50, relayedDelayForTests}}
+	if os.Getenv("CHESTNUT_LARGE_TESTS") != "" {
+		fleets = append(fleets, fleet{80, 180, relayedDelayForTests})
+	}
+	for _, fleet := range fleets {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(fleet.hosts, " hosts, seed ", seed), func(t *testing.T) {
+				g := NewWithT(t)
+				sim := newSimulation(PolicyPredict, fleet.hosts, fleet.servers, 100*seed)
+				sim.reportDelay, sim.crashingPart = fleet.reportDelay, "bad"
+				random := rand.New(rand.NewPCG(seed, 7))
+				rate := 2.5 * float64(fleet.servers)
+				sim.promptTraffic(random, rate, 0, 0, 4*time.Second)
+				sim.promptTraffic(random, rate, 0.1, 4*time.Second, 12*time.Second)
+				sim.runUntil(14 * time.Second)
+				t.Logf("%d crashes, %d later arrivals, sound ones served %.3f before and %.3f since", len(sim.crashes), sim.laterArrivals(), sim.servedShare(0, 3500*time.Millisecond), sim.servedShare(4*time.Second, 12*time.Second))
+				g.Expect(sim.laterArrivals()).To(BeNumerically("<=", maxLaterArrivals))
+				g.Expect(sim.servedShare(4*time.Second, 12*time.Second)).To(BeNumerically(">=", minServedShare*sim.servedShare(0, 3500*time.Millisecond)))
+				g.Expect(sim.quarantined).To(HaveLen(1), "only the part that crashes servers")
+				g.Expect(sim.quarantined).To(HaveKey("bad"))
+			})
+		}
+	}
+}
+
+const (
+	directDelayForTests  = 8 * time.Millisecond
+	relayedDelayForTests = 24 * time.Millisecond
+)
+
+// TestCrashesWithoutACommonPartQuarantineNothing guards against sound prompts that
+// are refused because they were on servers that crashed.
+func TestCrashesWithoutACommonPartQuarantineNothing(t *testing.T) {
+	for name, crash := range map[string]func(sim *simulation, random *rand.Rand){
+		"a rack": func(sim *simulation, _ *rand.Rand) {
+			for i := range 6 {
+				sim.crash(sim.servers[fmt.Sprint("i-", i)], 3*time.Second)
+			}
+		},
+		"one after the other": func(sim *simulation, random *rand.Rand) {
+			for i := range 12 {
+				sim.schedule(time.Duration(i)*300*time.Millisecond, func() {
+					sim.crash(sim.servers[fmt.Sprint("i-", random.IntN(18))], 3*time.Second)
+				})
+			}
+		},
+		"all at once": func(sim *simulation, _ *rand.Rand) {
+			for _, s := range sim.servers {
+				sim.crash(s, time.Second)
+			}
+		},
+	} {
+		for _, start := range []time.Duration{0, 300 * time.Millisecond, 3 * time.Second} {
+			for seed := range uint64(5) {
+				t.Run(fmt.Sprint(name, " after ", start, ", seed ", seed), func(t *testing.T) {
+					g := NewWithT(t)
+					sim := newSimulation(PolicyPredict, 8, 18, 100*seed)
+					random := rand.New(rand.NewPCG(seed, 7))
+					sim.promptTraffic(random, 45, 0, 0, 10*time.Second)
+					sim.schedule(start, func() { crash(sim, random) })
+					sim.runUntil(14 * time.Second)
+					g.Expect(sim.quarantined).To(BeEmpty())
+				})
+			}
+		}
+	}
+}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -101,6 +101,9 @@
 	var remaining []*request
 	for _, r := range queue {
 		switch {
+		case c.isQuarantined(r, now) && !r.isTrial:
+			r.lastCode = CodePromptQuarantined
+			c.endRequest(r, now)
 		case now > c.refusalTime(r):
 			r.lastCode = CodeOverloaded
 			c.endRequest(r, now)
@@ -149,10 +152,14 @@
 // refuse gives the final answer to a request that was not executed.
 func (c *Core) refuse(r *request, code ErrorCode, now time.Duration) {
 	delete(c.requests, r.RequestNumber)
-	c.emit(Refuse{
+	refusal := Refuse{
 		RequestNumber: r.RequestNumber, Code: code, RetryAfter: c.retryAfter(r, code, now),
 		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting),
-	})
+	}
+	if v, quarantined := c.quarantine.Match(r.SharedParts, now); quarantined && code == CodePromptQuarantined {
+		refusal.QuarantinedPart, refusal.RetryAfter = v.Part, max(minRetryAfter, v.HoldLeft)
+	}
+	c.emit(refusal)
 }
 
 // retryAfter returns the time after which the caller of a refused request may
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -50,6 +50,10 @@
 	tooCostly bool
 	// pendingPlan is the plan of the current attempt.
 	pendingPlan *plan
+	// firstPieceAt is when the answer of the current attempt began; 0 before.
+	firstPieceAt time.Duration
+	// isTrial is set when the request was let through in spite of a quarantine.
+	isTrial bool
 }
 
 // key returns the key of the request in the ledgers.
@@ -64,6 +68,10 @@
 		c.refuse(r, code, now)
 		return
 	}
+	if c.isQuarantined(r, now) && !c.beginTrial(r, now) {
+		c.refuse(r, CodePromptQuarantined, now)
+		return
+	}
 	if p := c.placeOrPostpone(r, now); p != nil {
 		c.startAttempt(r, p, now)
 		return
@@ -134,6 +142,7 @@
 	r.pendingPlan = p
 	r.members = p.members
 	r.sent, r.waiting = false, false
+	r.firstPieceAt = 0
 	for i, u := range p.members {
 		w := &workItem{
 			key: r.key(), isLeader: i == 0, prefillTime: p.partPrefillTime,
@@ -248,6 +257,7 @@
 	if r == nil {
 		return
 	}
+	c.recordAnswerBegun(r, now)
 	c.recordDecoding(r.key(), now)
 	c.pendingReport.Decoding = append(c.pendingReport.Decoding, r.RequestNumber)
 }
@@ -274,6 +284,9 @@
 		return
 	}
 	c.recordOutcome(r.members[0], "", now)
+	if e.Success {
+		c.recordSoundParts(r, now)
+	}
 	c.endAttempt(r, "", now)
 	delete(c.requests, r.RequestNumber)
 }
@@ -328,6 +341,9 @@
 		// The leader could not connect to this helper.
 		observed = FailureNotConnected
 	}
+	if e.ConnectionBroken && failedMember == r.members[0] {
+		c.recordCrash(r, failedMember, now)
+	}
 	c.recordOutcome(failedMember, observed, now)
 	r.tried[failedMember.ID] = true
 	c.endAttempt(r, e.Class, now)
@@ -346,6 +362,11 @@
 		c.endRequest(r, now)
 		return
 	}
+	if c.isQuarantined(r, now) {
+		r.lastCode = CodePromptQuarantined
+		c.endRequest(r, now)
+		return
+	}
 	if r.Deadline-now < minTimeLeft {
 		r.lastCode = CodeTimeLimit
 		c.endRequest(r, now)
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -32,9 +32,16 @@
 	}
 	if e.OK {
 		r.unconfirmed--
-		if r.unconfirmed == 0 {
-			c.sendAttempt(r, r.pendingPlan, now)
+		if r.unconfirmed > 0 {
+			return
 		}
+		if c.isQuarantined(r, now) && !r.isTrial {
+			c.endAttempt(r, FailureCallerLeft, now)
+			r.lastCode = CodePromptQuarantined
+			c.endRequest(r, now)
+			return
+		}
+		c.sendAttempt(r, r.pendingPlan, now)
 		return
 	}
 	if u := c.upstreams[e.Upstream]; u != nil {
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chestnutline/chestnutline/internal/route"
@@ -68,6 +69,8 @@
 	leaderLimited bool
 	// retried is set when the caller has been refused before.
 	retried bool
+	// parts are the shared parts of the prompt.
+	parts []string
 	// sentAt is when the caller sent the request. firstEventAt, lastEventAt and
 	// longestPause describe the stream.
 	sentAt, firstEventAt, lastEventAt, longestPause time.Duration
@@ -86,6 +89,8 @@
 	// arrivals holds when requests, and parts of them, arrived.
 	limit    float64
 	arrivals []time.Duration
+	// downUntil is when a crashed server is back.
+	downUntil time.Duration
 }
 
 // scheduledCall is a function to run at a simulated time. seq orders the calls
@@ -129,12 +134,20 @@
 	// reservedTokens holds the size of each memory reservation, by its ticket
 	// and server.
 	reservedTokens map[string]int
+	// crashingPart is the part of prompts under which servers crash. crashes holds
+	// when they did, crashingArrivals when requests with the part reached servers.
+	crashingPart              string
+	crashes, crashingArrivals []time.Duration
+	// quarantined holds when hosts quarantined a part, by part.
+	quarantined map[string][]time.Duration
 }
 
 // result is how one request ended, as its caller saw it.
 type result struct {
 	route        string
 	promptTokens int
+	parts        []string
+	sentAt       time.Duration
 	delivered    bool
 	refused      bool
 	inTime       bool
@@ -145,6 +158,7 @@
 	sim := &simulation{
 		engine: testEngine(), servers: make(map[string]*simulatedServer), jobs: make(map[string]*job),
 		reportDelay: 4 * time.Millisecond, reservedTokens: make(map[string]int),
+		quarantined: make(map[string][]time.Duration),
 	}
 	var list []Upstream
 	for i := range servers {
@@ -208,7 +222,20 @@
 			sim.schedule(e.RetryAfter, func() { sim.retryRefused(j) })
 			return
 		}
-		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, refused: true})
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt, refused: true})
+	case Fail:
+		j := sim.jobs[jobKey(host, e.RequestNumber)]
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt})
+	case BroadcastQuarantine:
+		for other := range sim.cores {
+			if other != host {
+				sim.schedule(sim.reportDelay, func() { sim.step(other, QuarantineReported(e)) })
+			}
+		}
+	case QuarantineChanged:
+		if e.State == QuarantineBegun {
+			sim.quarantined[e.Verdict.Part] = append(sim.quarantined[e.Verdict.Part], sim.now)
+		}
 	case UpstreamLimitChanged:
 		if e.Host != "" {
 			return
@@ -242,12 +269,12 @@
 func jobKey(host int, number uint64) string { return fmt.Sprint(host, "/", number) }
 
 // sendRequest has a caller send a request to a host.
-func (sim *simulation) sendRequest(host int, r *route.Route, promptTokens, answerTokens int) {
+func (sim *simulation) sendRequest(host int, r *route.Route, promptTokens, answerTokens int, parts ...string) {
 	sim.lastNumber++
 	number := sim.lastNumber
-	sim.jobs[jobKey(host, number)] = &job{host: host, number: number, route: r, promptTokens: promptTokens, answerTokens: answerTokens, sentAt: sim.now, eventsLeft: answerTokens/sim.engine.StepsPerPass + 1}
+	sim.jobs[jobKey(host, number)] = &job{host: host, number: number, route: r, promptTokens: promptTokens, answerTokens: answerTokens, sentAt: sim.now, eventsLeft: answerTokens/sim.engine.StepsPerPass + 1, parts: parts}
 	sim.step(host, Arrived{
-		RequestNumber: number, ID: fmt.Sprint(number), Route: r, Service: "llm",
+		RequestNumber: number, ID: fmt.Sprint(number), Route: r, Service: "llm", SharedParts: parts,
 		PromptTokens: promptTokens, AnswerTokens: answerTokens, Deadline: sim.now + r.Timeout,
 	})
 	sim.schedule(r.Timeout, func() { sim.timeOut(host, number) })
@@ -262,7 +289,7 @@
 	sim.jobs[jobKey(host, sim.lastNumber)] = &retry
 	timeLeft := j.sentAt + j.route.Timeout - sim.now
 	sim.step(host, Arrived{
-		RequestNumber: sim.lastNumber, ID: fmt.Sprint(sim.lastNumber), Route: j.route, Service: "llm",
+		RequestNumber: sim.lastNumber, ID: fmt.Sprint(sim.lastNumber), Route: j.route, Service: "llm", SharedParts: j.parts,
 		PromptTokens: j.promptTokens, AnswerTokens: j.answerTokens, Deadline: sim.now + timeLeft,
 	})
 	number := sim.lastNumber
@@ -275,7 +302,7 @@
 		return
 	}
 	j := sim.jobs[jobKey(host, number)]
-	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens})
+	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt})
 	sim.step(host, CallerGone{RequestNumber: number})
 }
 
@@ -287,10 +314,19 @@
 		j := &job{
 			host: host, number: s.RequestNumber, attempt: s.Attempt, route: original.route, promptTokens: original.promptTokens,
 			prefillLeft: prefillTime(sim.engine, original.promptTokens, parts), partsLeft: &parts, leaderServer: sim.servers[s.Members[0].Upstream], isLeader: i == 0, sentAt: original.sentAt, eventsLeft: original.eventsLeft,
-			leaderLimited: s.LeaderLimited,
+			leaderLimited: s.LeaderLimited, parts: original.parts, answerTokens: original.answerTokens,
 		}
 		sim.schedule(5*time.Millisecond, func() {
 			server := sim.servers[m.Upstream]
+			if sim.now < server.downUntil {
+				if j.isLeader {
+					sim.step(host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureNotConnected})
+				}
+				return
+			}
+			if j.isLeader && sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
+				sim.crashingArrivals = append(sim.crashingArrivals, sim.now)
+			}
 			server.arrivals = append(server.arrivals, sim.now)
 			if j.isLeader {
 				server.queue = append(server.queue, j)
@@ -394,6 +430,15 @@
 
 // endPass adds an event to the stream of each decoding request.
 func (sim *simulation) endPass(s *simulatedServer) {
+	if sim.now < s.downUntil {
+		return
+	}
+	for _, j := range s.decoders {
+		if sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
+			sim.crash(s, 3*time.Second)
+			return
+		}
+	}
 	for _, j := range s.decoders {
 		if j.firstEventAt == 0 {
 			j.firstEventAt, j.lastEventAt = sim.now, sim.now
@@ -412,13 +457,32 @@
 		if j.eventsLeft <= 0 {
 			s.running = without(s.running, j)
 			inTime := j.firstEventAt-j.sentAt <= j.route.TargetLatency && j.longestPause <= j.route.TargetPieceGap
-			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, delivered: true, inTime: inTime})
-			sim.step(j.host, Finished{RequestNumber: j.number, Attempt: j.attempt})
+			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt, delivered: true, inTime: inTime})
+			sim.step(j.host, Finished{RequestNumber: j.number, Attempt: j.attempt, Success: true})
 		}
 	}
 	sim.startPass(s)
 }
 
+// crash ends a server with all its requests for a while.
+func (sim *simulation) crash(s *simulatedServer, downtime time.Duration) {
+	if sim.now < s.downUntil {
+		return
+	}
+	sim.crashes = append(sim.crashes, sim.now)
+	s.downUntil = sim.now + downtime
+	s.passEnd = s.downUntil
+	lost := append(append([]*job(nil), s.running...), s.queue...)
+	s.running, s.queue, s.decoders = nil, nil, nil
+	for _, j := range lost {
+		if j.isLeader {
+			sim.schedule(5*time.Millisecond, func() {
+				sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureAnswerLost, ConnectionBroken: true})
+			})
+		}
+	}
+}
+
 // inTimeShare returns the share of a route's requests that were answered in
 // time.
 func (sim *simulation) inTimeShare(name string) float64 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,8 +53,11 @@
 	class         balance.FailureClass
 	callerGone    bool
 	failedAddress string
-	status        int
-	err           error
+	// connectionBroken is true if the upstream closed or reset the connection before
+	// its answer was complete.
+	connectionBroken bool
+	status           int
+	err              error
 }
 
 // run sends the request to the upstream and forwards its answer to the caller.
@@ -141,7 +145,18 @@
 	if errors.Is(err, errNoData) {
 		return outcome{class: balance.FailureNoResponse, err: err}
 	}
-	return outcome{class: balance.FailureAnswerLost, err: err}
+	return outcome{class: balance.FailureAnswerLost, connectionBroken: isConnectionBroken(err), err: err}
+}
+
+// isConnectionBroken reports whether an error means that the other end closed or
+// reset the connection.
+func isConnectionBroken(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
 }
 
 // handleResponse checks the header of a response and forwards the response if
@@ -207,7 +222,7 @@
 		if err := buffered.writeTo(a.exchange); err != nil {
 			return outcome{class: balance.FailureAnswerLost, callerGone: true, err: err}
 		}
-		return outcome{}
+		return outcome{status: response.StatusCode}
 	}
 	platform.CopyResponseHeader(a.w.Header(), response.Header)
 	a.w.WriteHeader(response.StatusCode)
@@ -218,7 +233,7 @@
 	if _, err := io.Copy(a.w, response.Body); err != nil {
 		return a.classifyInterrupted(err)
 	}
-	return outcome{}
+	return outcome{status: response.StatusCode}
 }
 
 // bufferedResponse is a response of an upstream that was read whole.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,16 +44,18 @@
 	isolated atomic.Bool
 
 	// orders sends memory reservations to servers, broadcastReport sends a work
-	// report to all other hosts, broadcastLimit the limit that a server named, and
+	// report to all other hosts, broadcastLimit the limit that a server named,
+	// broadcastQuarantine what was found out about parts of prompts, and
 	// removeExpiredServers is called at each tick.
 	orders               *orderSender
 	broadcastReport      func(balance.WorkReport)
 	broadcastLimit       func(upstream string, perSecond float64)
+	broadcastQuarantine  func(balance.QuarantineReport)
 	removeExpiredServers func()
 }
 
-// newControl returns a control whose fields orders, broadcastReport, broadcastLimit
-// and removeExpiredServers are still to be set.
+// newControl returns a control whose fields orders, broadcastReport, broadcastLimit,
+// broadcastQuarantine and removeExpiredServers are still to be set.
 func newControl(core *balance.Core, c clock.Clock, logger log.Interface, metrics *telemetry.Registry) *control {
 	return &control{
 		core: core, clock: c, logger: logger, metrics: metrics,
@@ -124,6 +127,7 @@
 	if c.isolated.Swap(isolated) != isolated {
 		logevent.HostIsolated.Emit(c.logger, log.Fields{"isolated": isolated})
 	}
+	c.metrics.Gauge("gateway_quarantined_parts", float64(c.core.QuarantinedParts()))
 	c.metrics.Gauge("gateway_queue_requests", float64(c.core.Waiting()))
 	c.metrics.Gauge("gateway_in_flight_requests", float64(c.core.InFlight()))
 }
@@ -151,6 +155,10 @@
 		if e.Host == "" {
 			c.broadcastLimit(e.Upstream, e.PerSecond)
 		}
+	case balance.BroadcastQuarantine:
+		c.broadcastQuarantine(e.Report)
+	case balance.QuarantineChanged:
+		c.logQuarantine(e)
 	case balance.UpstreamStateChanged:
 		logevent.UpstreamExcluded.Emit(c.logger, log.Fields{
 			"upstream": e.Upstream, "belief": e.State, "cause": e.Cause, "failure_share": e.FailureShare, "seen": e.RequestsSeen,
@@ -158,6 +166,19 @@
 	}
 }
 
+// logQuarantine logs a change of a quarantine.
+func (c *control) logQuarantine(e balance.QuarantineChanged) {
+	if e.State == balance.QuarantineReleased {
+		logevent.PartReleased.Emit(c.logger, log.Fields{"part": e.Verdict.Part, "request": e.RequestID})
+		return
+	}
+	logevent.PartQuarantined.Emit(c.logger, log.Fields{
+		"part": e.Verdict.Part, "state": string(e.State), "together": strings.Join(e.Verdict.Together, ","),
+		"servers": strings.Join(e.Verdict.Servers, ","), "seen_by": strings.Join(e.Verdict.Hosts, ","),
+		"trials": e.Verdict.Trials, "hold_s": e.Verdict.HoldLeft.Seconds(), "request": e.RequestID,
+	})
+}
+
 // deliver hands an effect to the goroutine of its request. It drops the effect
 // if the goroutine has ended, which needs it no more since it posted the end of
 // the request before. If the channel is full, it drops the effect and logs an
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,7 +95,7 @@
 	outcome := a.run()
 	switch {
 	case outcome.class == "":
-		x.control.post(balance.Finished{RequestNumber: x.requestNumber, Attempt: send.Attempt})
+		x.control.post(balance.Finished{RequestNumber: x.requestNumber, Attempt: send.Attempt, Success: outcome.status < http.StatusMultipleChoices})
 		x.logDelivered(send)
 		return true
 	case outcome.callerGone:
@@ -110,6 +110,7 @@
 	x.metrics.Count("gateway_attempts_failed_total", 1, "class", string(outcome.class))
 	x.control.post(balance.AttemptFailed{
 		RequestNumber: x.requestNumber, Attempt: send.Attempt, Class: outcome.class, FailedAddress: outcome.failedAddress, PartlyDelivered: x.responseStarted,
+		ConnectionBroken: outcome.connectionBroken,
 	})
 	return false
 }
@@ -143,7 +144,9 @@
 		x.failRequest(e.Code, false)
 		return
 	}
-	x.refuse(x.w, x.inbound, refusal{status: http.StatusServiceUnavailable, code: string(e.Code), retryAfter: e.RetryAfter})
+	x.refuse(x.w, x.inbound, refusal{
+		status: http.StatusServiceUnavailable, code: string(e.Code), retryAfter: e.RetryAfter, quarantinedPart: e.QuarantinedPart,
+	})
 }
 
 // failRequest ends a request that may have run. It forwards the upstream's own
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -67,6 +67,9 @@
 	code       string
 	detail     string
 	retryAfter time.Duration
+	// quarantinedPart is the part of the prompt for which the request is refused; it
+	// is only logged.
+	quarantinedPart string
 }
 
 // ServeHTTP answers one request. A host that is stopping also closes the
@@ -201,6 +204,9 @@
 	if reason.detail != "" {
 		fields["detail"] = reason.detail
 	}
+	if reason.quarantinedPart != "" {
+		fields["part"] = reason.quarantinedPart
+	}
 	if inbound.configuration != nil {
 		fields["configuration"] = inbound.configuration.Version
 		fields["configuration_age_ms"] = (g.clock.Now() - inbound.configuration.activeSince).Milliseconds()
@@ -228,7 +234,7 @@
 	}
 	return balance.Arrived{
 		RequestNumber: x.requestNumber, ID: request.ID, Route: x.inbound.route, Service: x.inbound.route.ChooseService(request.ID),
-		PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
+		SharedParts: request.SharedParts, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
 		Priority: x.inbound.priority, Deadline: x.inbound.deadline,
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -263,10 +263,15 @@
 // receive handles a message from another host.
 func (p *peers) receive(remote string, received wire.Message) {
 	err := errors.New("unexpected message")
-	if carrier, ok := received.(wire.TopicMessage); ok && carrier.Topic == topicLimit {
-		err = p.receiveLimit(carrier)
-	} else if ok {
-		err = p.receiveWork(carrier)
+	if carrier, ok := received.(wire.TopicMessage); ok {
+		switch carrier.Topic {
+		case topicLimit:
+			err = p.receiveLimit(carrier)
+		case topicQuarantine:
+			err = p.receiveQuarantine(carrier)
+		default:
+			err = p.receiveWork(carrier)
+		}
 	}
 	if err != nil {
 		logevent.PeerRefused.Emit(p.logger, log.Fields{"remote": remote, "error": err.Error()})
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,21 @@
+// Package quarantine finds the parts of prompts that crash servers, and tells which
+// requests must not reach one.
+//
+// A server that crashes has requests of all kinds, so a single crash says little.
+// Every host reports the shared parts of those prompts that a crashed server had
+// hardly begun to answer, and leaves out the parts that it has seen in sound
+// answers lately. A part that is left after crashes of several servers at different
+// moments is quarantined on all hosts: requests with it are refused.
+//
+// Parts that only ever come together can't be told apart by crashes. A quarantine
+// therefore holds only for prompts that have all of them, until a prompt with some
+// of them shows which of them are sound.
+//
+// A quarantine ends when a request with the part is answered. The host that is
+// responsible for the part lets a single request through as a trial when the hold
+// is over, and the hold grows with every trial. A quarantine that no request has
+// met for a long time is forgotten.
+//
+// The package is a state machine without side effects: it reads no clock and does
+// no I/O.
+package quarantine
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,300 @@
+package quarantine
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Crash reports a request that a server had hardly begun to answer when it crashed.
+// Hosts exchange crashes as arrays, so the order of the fields is part of the
+// protocol. The same holds for Verdict.
+type Crash struct {
+	// Server identifies one run of the server, Host the host that saw its crash.
+	Server, Host string
+	// Parts are the shared parts of the request's prompt that have not been seen in
+	// a sound answer lately.
+	Parts []string
+}
+
+// Verdict is the quarantine of one part. Its times are relative to its sending.
+type Verdict struct {
+	Part string
+	// Together lists the part itself and those that every suspected prompt with it
+	// had too; the quarantine holds for prompts with all of them.
+	Together []string
+	// Servers are the runs of servers that crashed, and Hosts the hosts that saw it.
+	Servers, Hosts []string
+	// Trials is the number of requests that were let through since.
+	Trials int
+	// HoldLeft is the time until the next trial, Idle the time since a request with
+	// the part was last met.
+	HoldLeft, Idle time.Duration
+}
+
+// record is what is known about one part.
+type record struct {
+	// crashes holds when each server crashed and which host saw it.
+	crashes           map[string]seen
+	firstAt, lastAt   time.Duration
+	together          []string
+	convicted         bool
+	holdUntil         time.Duration
+	trials            int
+	metAt, announceAt time.Duration
+}
+
+// seen tells which host saw a crash, and when it was reported here.
+type seen struct {
+	host string
+	at   time.Duration
+}
+
+// Table holds what one host knows about the parts of prompts. It is not safe for
+// concurrent use.
+type Table struct {
+	config  Config
+	random  *rand.Rand
+	sound   soundParts
+	records map[string]*record
+	// convicted is the number of records that are convicted.
+	convicted int
+}
+
+// New returns an empty table, or an error if the configuration is not valid. The
+// random numbers spread the hosts' announcements.
+func New(config Config, random *rand.Rand) (*Table, error) {
+	if err := config.Validate().Err(); err != nil {
+		return nil, err
+	}
+	return &Table{
+		config: config, random: random, records: make(map[string]*record),
+		sound: newSoundParts(config.SoundMemory, config.MaxSoundParts),
+	}, nil
+}
+
+// Len returns the number of quarantined parts.
+func (t *Table) Len() int { return t.convicted }
+
+// RecordCrash records a crash that this host or another one saw. It returns the
+// crash without the parts that were seen in sound answers lately, and the verdicts
+// to which it led.
+func (t *Table) RecordCrash(c Crash, now time.Duration) (Crash, []Verdict) {
+	var suspects []string
+	for _, part := range c.Parts {
+		if !t.sound.recent(part, now) && !slices.Contains(suspects, part) {
+			suspects = append(suspects, part)
+		}
+	}
+	c.Parts = suspects
+	var verdicts []Verdict
+	for _, part := range suspects {
+		r := t.record(part, now)
+		if r == nil {
+			continue
+		}
+		r.add(c, now, t.config.CrashMemory)
+		if !r.convicted && len(r.crashes) >= t.config.MinCrashes && r.lastAt-r.firstAt >= t.config.MinSpan {
+			r.convicted, r.holdUntil, r.metAt = true, now+t.config.hold(0), now
+			r.announceAt = t.nextAnnouncement(now)
+			t.convicted++
+			verdicts = append(verdicts, r.verdict(part, now))
+		}
+	}
+	return c, verdicts
+}
+
+// add records a crash, and forgets those that are too long ago.
+func (r *record) add(c Crash, now, memory time.Duration) {
+	if r.together == nil {
+		r.together = slices.Clone(c.Parts)
+	} else {
+		r.together = intersect(r.together, c.Parts)
+	}
+	if _, known := r.crashes[c.Server]; known {
+		return
+	}
+	r.crashes[c.Server] = seen{host: c.Host, at: now}
+	r.firstAt, r.lastAt = now, now
+	for server, s := range r.crashes {
+		if now-s.at > memory {
+			delete(r.crashes, server)
+			continue
+		}
+		r.firstAt = min(r.firstAt, s.at)
+	}
+}
+
+// record returns the record of a part, which it creates if necessary. It returns nil
+// if there are too many, all of which are convicted.
+func (t *Table) record(part string, now time.Duration) *record {
+	if r := t.records[part]; r != nil {
+		return r
+	}
+	if len(t.records) >= t.config.MaxParts && !t.evict() {
+		return nil
+	}
+	r := &record{crashes: make(map[string]seen), firstAt: now, lastAt: now}
+	t.records[part] = r
+	return r
+}
+
+// evict removes the record that is not convicted and whose last crash is longest
+// ago, and reports whether there was one.
+func (t *Table) evict() bool {
+	oldest := ""
+	for part, r := range t.records {
+		if !r.convicted && (oldest == "" || r.lastAt < t.records[oldest].lastAt) {
+			oldest = part
+		}
+	}
+	delete(t.records, oldest)
+	return oldest != ""
+}
+
+// RecordSound records that a prompt with these parts got a sound answer, here or at
+// another host. It returns the parts of which crashes were recorded before, which
+// other hosts must learn, and those of them that were quarantined.
+func (t *Table) RecordSound(parts []string, now time.Duration) (cleared, released []string) {
+	for _, part := range parts {
+		t.sound.record(part, now)
+		if r := t.records[part]; r != nil {
+			if r.convicted {
+				released = append(released, part)
+			}
+			t.remove(part, r)
+			cleared = append(cleared, part)
+		}
+	}
+	if len(cleared) == 0 {
+		return nil, nil
+	}
+	for _, r := range t.records {
+		r.together = slices.DeleteFunc(r.together, func(part string) bool { return slices.Contains(cleared, part) })
+	}
+	return cleared, released
+}
+
+// remove deletes the record of a part.
+func (t *Table) remove(part string, r *record) {
+	if r.convicted {
+		t.convicted--
+	}
+	delete(t.records, part)
+}
+
+// Match returns the verdict that holds for a prompt with the given parts, if there
+// is one.
+func (t *Table) Match(parts []string, now time.Duration) (Verdict, bool) {
+	if t.convicted == 0 {
+		return Verdict{}, false
+	}
+	for _, part := range parts {
+		if r := t.records[part]; r != nil && r.convicted && containsAll(parts, r.together) {
+			r.metAt = now
+			return r.verdict(part, now), true
+		}
+	}
+	return Verdict{}, false
+}
+
+// BeginTrial lets one request with a quarantined part through, and begins the next
+// hold. Other hosts must learn of the verdict that it returns. It returns false if
+// the hold is not over.
+func (t *Table) BeginTrial(part string, now time.Duration) (Verdict, bool) {
+	r := t.records[part]
+	if r == nil || !r.convicted || now < r.holdUntil {
+		return Verdict{}, false
+	}
+	r.trials++
+	r.holdUntil = now + t.config.hold(r.trials)
+	return r.verdict(part, now), true
+}
+
+// Adopt applies the verdict of another host. It returns false if this host has seen
+// the part in a sound answer lately, which the other hosts must learn.
+func (t *Table) Adopt(v Verdict, now time.Duration) bool {
+	if t.sound.recent(v.Part, now) {
+		return false
+	}
+	r := t.record(v.Part, now)
+	if r == nil {
+		return true
+	}
+	switch {
+	case !r.convicted:
+		t.convicted++
+		r.convicted, r.together = true, slices.Clone(v.Together)
+	default:
+		r.together = intersect(r.together, v.Together)
+	}
+	for i, server := range v.Servers[:min(len(v.Servers), len(v.Hosts))] {
+		if _, known := r.crashes[server]; !known {
+			r.crashes[server] = seen{host: v.Hosts[i], at: now}
+		}
+	}
+	r.trials = max(r.trials, v.Trials)
+	r.holdUntil = max(r.holdUntil, now+min(v.HoldLeft, t.config.MaxHold))
+	r.metAt = max(r.metAt, now-v.Idle)
+	r.announceAt = t.nextAnnouncement(now)
+	return true
+}
+
+// nextAnnouncement returns when this host announces a verdict unless it hears it
+// from another one before.
+func (t *Table) nextAnnouncement(now time.Duration) time.Duration {
+	return now + t.config.AnnounceInterval/2 + time.Duration(t.random.Int64N(int64(t.config.AnnounceInterval)))
+}
+
+// Due forgets what is too long ago, and returns the verdicts that this host must
+// announce now.
+func (t *Table) Due(now time.Duration) []Verdict {
+	if len(t.records) == 0 {
+		return nil
+	}
+	var due []Verdict
+	for _, part := range slices.Sorted(maps.Keys(t.records)) {
+		r := t.records[part]
+		switch {
+		case !r.convicted && now-r.lastAt > t.config.CrashMemory, r.convicted && now-r.metAt > t.config.IdleMemory:
+			t.remove(part, r)
+		case r.convicted && now >= r.announceAt:
+			r.announceAt = t.nextAnnouncement(now)
+			due = append(due, r.verdict(part, now))
+		}
+	}
+	return due
+}
+
+// AnnounceSoon makes this host announce its verdicts within half an interval, for
+// hosts that have just become known.
+func (t *Table) AnnounceSoon(now time.Duration) {
+	for _, part := range slices.Sorted(maps.Keys(t.records)) {
+		r := t.records[part]
+		r.announceAt = min(r.announceAt, now+time.Duration(t.random.Int64N(int64(t.config.AnnounceInterval/2))))
+	}
+}
+
+// verdict returns the quarantine of a part in the form that hosts exchange.
+func (r *record) verdict(part string, now time.Duration) Verdict {
+	v := Verdict{
+		Part: part, Together: slices.Clone(r.together), Trials: r.trials,
+		HoldLeft: max(0, r.holdUntil-now), Idle: max(0, now-r.metAt),
+	}
+	for _, server := range slices.Sorted(maps.Keys(r.crashes)) {
+		v.Servers = append(v.Servers, server)
+		v.Hosts = append(v.Hosts, r.crashes[server].host)
+	}
+	return v
+}
+
+// intersect returns the elements of a that are in b.
+func intersect(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(element string) bool { return !slices.Contains(b, element) })
+}
+
+// containsAll reports whether all elements of wanted are in list.
+func containsAll(list, wanted []string) bool {
+	return !slices.ContainsFunc(wanted, func(element string) bool { return !slices.Contains(list, element) })
+}
