Reconnect to a host as soon as it can be reached

A hello of another host ends the pause before the next dial to it, and the return of the store ends all pauses. TestBackoffEndsWhenTheOtherHostIsReachable with pauses of an hour: not connected before, connected at once after.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -306,6 +306,7 @@
 		w.kindIndex = i
 		w.awaitsOthers = w != p.configurationWatcher
 		w.onRecovered = func() {
+			p.peers.transport.Reconnect()
 			for _, other := range watchers {
 				other.resumeCalls()
 			}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return err
 	}
+	t.recordReachable(from)
 	for {
 		m, err := t.readFrame(conn, inboundIdleFactor*t.cfg.IdleTimeout)
 		if err != nil {
--- a/internal/peer/outbound.go
+++ b/internal/peer/outbound.go
@@ -28,11 +28,13 @@
 	// goroutines.
 	connected atomic.Bool
 	unsent    atomic.Int64
+	// retryNow ends a pause after a failure.
+	retryNow chan struct{}
 }
 
 // newOutbound returns an outbound with an empty queue; run must be started.
 func newOutbound(t *Transport, address string) *outbound {
-	return &outbound{transport: t, address: address, queue: make(chan wire.Message, t.cfg.QueueLength)}
+	return &outbound{transport: t, address: address, queue: make(chan wire.Message, t.cfg.QueueLength), retryNow: make(chan struct{}, 1)}
 }
 
 // enqueue adds a message and drops the oldest one if the queue is full. The
@@ -94,6 +96,18 @@
 	}
 }
 
+// endBackoff makes the next attempt to connect follow at once. One that is being made
+// goes on.
+func (o *outbound) endBackoff() {
+	if o.connected.Load() {
+		return
+	}
+	select {
+	case o.retryNow <- struct{}{}:
+	default:
+	}
+}
+
 // dropQueued empties the queue, so that messages for a host that is gone do not
 // keep this goroutine running.
 func (o *outbound) dropQueued() {
@@ -120,7 +134,7 @@
 }
 
 // waitBackoff waits for a random time between half and one and a half times the
-// mean. It returns false when the goroutine must end: the transport is closed
+// mean, or until endBackoff is called. It returns false when the goroutine must end: the transport is closed
 // or no message is queued.
 func (o *outbound) waitBackoff(mean time.Duration) bool {
 	timer := time.NewTimer(mean/2 + rand.N(mean))
@@ -129,6 +143,7 @@
 	case <-o.transport.ctx.Done():
 		return false
 	case <-timer.C:
+	case <-o.retryNow:
 	}
 	return !o.transport.removeOutbound(o)
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -141,6 +141,26 @@
 	return o != nil && o.connected.Load()
 }
 
+// Reconnect ends the pauses after failed attempts to connect to other hosts. It is for
+// a caller that has found this host to be connected again.
+func (t *Transport) Reconnect() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range t.outbound {
+		o.endBackoff()
+	}
+}
+
+// recordReachable ends the pause before the next attempt to connect to a host that
+// has connected to this one.
+func (t *Transport) recordReachable(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.outbound[address]; o != nil {
+		o.endBackoff()
+	}
+}
+
 // removeOutbound removes an outbound whose queue is empty, so that its
 // goroutine can end. It reports whether the outbound was removed.
 func (t *Transport) removeOutbound(o *outbound) bool {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -188,6 +188,34 @@
 	g.Expect(tr.Counts().Dropped).To(gomega.Equal(uint64(1)))
 }
 
+// TestBackoffEndsWhenTheOtherHostIsReachable guards against hosts that do not hear
+// of each other for seconds after a cut.
+func TestBackoffEndsWhenTheOtherHostIsReachable(t *testing.T) {
+	for name, signal := range map[string]func(tr *Transport, other string){
+		"by its own connection": func(tr *Transport, other string) {
+			back := newTransport(t, fastConfig(other), nil, nil)
+			back.Send(tr.cfg.Address, wire.Heartbeat{Host: "back"})
+		},
+		"by a call": func(tr *Transport, _ string) { tr.Reconnect() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			own, other := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+			address := other.Addr().String()
+			other.Close()
+			var ignored, received inbox
+			tr := serve(t, own, &ignored, func(c *Config) { c.MinBackoff, c.MaxBackoff = time.Hour, time.Hour })
+			tr.Send(address, wire.Heartbeat{Host: "lost"})
+			g.Eventually(func() uint64 { return tr.Counts().Dropped }, testTimeout).Should(gomega.BeNumerically(">", 0))
+			tr.Send(address, wire.Heartbeat{Host: "queued"})
+			serve(t, listen(t, address), &received, nil)
+			g.Consistently(received.receivedHosts, 200*time.Millisecond).Should(gomega.BeEmpty())
+			signal(tr, address)
+			g.Eventually(received.receivedHosts, testTimeout).Should(gomega.Equal([]string{"queued"}))
+		})
+	}
+}
+
 // checkCanListen returns an error as long as the address is in use.
 func checkCanListen(address string) error {
 	l, err := net.Listen("tcp", address)
