Announce quarantines at once to hosts that are heard of again

A host that starts or was cut off waited for the next announcement. Its first report makes the others announce within half an interval. Tests: one trial ends a quarantine on all hosts, a host that was cut off learns it, queued, repeated and reserved prompts are not sent once their part is quarantined.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -110,9 +110,6 @@
 	case ReportReceived:
 		c.receiveReport(e.Host, e.Report, now)
 	case PeersChanged:
-		if e.OtherHosts > c.otherHosts {
-			c.quarantine.AnnounceSoon(now)
-		}
 		c.otherHosts, c.reportDelay = e.OtherHosts, e.ReportDelay
 	case QuarantineReported:
 		c.receiveQuarantineReport(e.Report, now)
--- a/internal/balance/quarantine_test.go
+++ b/internal/balance/quarantine_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/chestnutline/chestnutline/internal/quarantine"
 )
 
 // Bounds on requests with a part that crashes servers, as the users state them.
@@ -144,3 +146,136 @@
 		}
 	}
 }
+
+// TestOneTrialEndsAQuarantineOnAllHosts guards against hosts that each try a
+// quarantined part, and against a quarantine that never ends.
+func TestOneTrialEndsAQuarantineOnAllHosts(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(PolicyPredict, 8, 18, 1)
+	sim.crashingPart = "bad"
+	random := rand.New(rand.NewPCG(1, 7))
+	sim.promptTraffic(random, 45, 0, 0, 4*time.Second)
+	sim.promptTraffic(random, 45, 0.1, 4*time.Second, 50*time.Second)
+	sim.runUntil(10 * time.Second)
+	arrived := len(sim.crashingArrivals)
+	sim.healed = true
+	convictedAt := sim.quarantined["bad"][0]
+	firstTrial := convictedAt + 30*time.Second
+	sim.runUntil(firstTrial - 100*time.Millisecond)
+	g.Expect(sim.crashingArrivals).To(HaveLen(arrived), "none before the first trial")
+	sim.runUntil(50 * time.Second)
+	g.Expect(len(sim.crashingArrivals)).To(BeNumerically(">", arrived+20), "served again after the trial")
+	beforeAnswer := 0
+	for _, at := range sim.crashingArrivals[arrived:] {
+		if at < sim.crashingArrivals[arrived]+soundAnswerTime {
+			beforeAnswer++
+		}
+	}
+	g.Expect(beforeAnswer).To(Equal(1), "a single trial")
+	for _, core := range sim.cores {
+		g.Expect(core.QuarantinedParts()).To(BeZero())
+	}
+}
+
+// TestHostThatWasCutOffLearnsQuarantinesBeforeItSendsMore guards against a host that
+// comes back and crashes servers until it has seen enough crashes itself.
+func TestHostThatWasCutOffLearnsQuarantinesBeforeItSendsMore(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(PolicyPredict, 8, 18, 1)
+	sim.crashingPart = "bad"
+	sim.cutOff[3] = true
+	for i := range 40 {
+		sim.schedule(time.Duration(i)*100*time.Millisecond, func() { sim.sendRequest(i%3, shortRoute, 4000, 400, "all", "bad") })
+	}
+	sim.runUntil(5 * time.Second)
+	bad := &request{Arrived: Arrived{SharedParts: []string{"all", "bad"}}}
+	g.Expect(sim.cores[0].isQuarantined(bad, sim.now)).To(BeTrue())
+	g.Expect(sim.cores[3].isQuarantined(bad, sim.now)).To(BeFalse())
+	sim.cutOff[3] = false
+	sim.runUntil(5*time.Second + 1700*time.Millisecond)
+	g.Expect(sim.cores[3].isQuarantined(bad, sim.now)).To(BeTrue())
+}
+
+// quarantinePart makes a core quarantine a part by three crashes that other hosts
+// report.
+func quarantinePart(c *Core, part string, now time.Duration) {
+	for i := range 3 {
+		c.Step(now+time.Duration(i)*100*time.Millisecond, QuarantineReported{Report: QuarantineReport{
+			Crashes: []quarantine.Crash{{Server: fmt.Sprint("i-other-", i), Host: "h2", Parts: []string{part}}},
+		}})
+	}
+}
+
+func TestQuarantinedPromptIsRefusedAtOnceWithTheTimeOfTheNextTrial(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	quarantinePart(c, "bad", 0)
+	r := newArrival(1, shortRoute, "llm", 5000, time.Second)
+	r.SharedParts = []string{"all", "bad"}
+	refusal := firstRefuse(c.Step(time.Second, r))
+	g.Expect(refusal).NotTo(BeNil())
+	g.Expect(refusal.Code).To(Equal(CodePromptQuarantined))
+	g.Expect(refusal.QuarantinedPart).To(Equal("bad"))
+	g.Expect(refusal.RetryAfter).To(BeNumerically("~", 30*time.Second, time.Second))
+}
+
+func TestQueuedPromptIsRefusedWhenItsPartIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	// Prompts that take the whole memory of a server each, so that one of them waits.
+	for n := range uint64(5) {
+		r := newArrival(n+1, longPromptRoute, "llm", 220000, 0)
+		r.SharedParts = []string{"all"}
+		if n == 4 {
+			r.SharedParts = []string{"bad"}
+		}
+		c.Step(0, r)
+	}
+	waiting := c.Waiting()
+	g.Expect(c.requests[5].waiting).To(BeTrue())
+	quarantinePart(c, "bad", 0)
+	g.Expect(c.requests).NotTo(HaveKey(uint64(5)))
+	g.Expect(c.Waiting()).To(Equal(waiting - 1))
+}
+
+func TestPromptIsNotRepeatedOnceItsPartIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	r := newArrival(1, shortRoute, "llm", 5000, 0)
+	r.SharedParts = []string{"bad"}
+	g.Expect(firstSend(c.Step(0, r))).NotTo(BeNil())
+	quarantinePart(c, "bad", 0)
+	effects := c.Step(time.Second, AttemptFailed{RequestNumber: 1, Attempt: 1, Class: FailureAnswerLost, ConnectionBroken: true})
+	g.Expect(firstSend(effects)).To(BeNil())
+	g.Expect(effects).To(ContainElement(HaveField("Code", CodePromptQuarantined)), "it may have run, so it fails")
+}
+
+// TestReservedPromptIsNotSentOnceItsPartIsQuarantined covers the time between the
+// choice of servers and the confirmation of their memory.
+func TestReservedPromptIsNotSentOnceItsPartIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	r := newArrival(1, longPromptRoute, "llm", 400000, 0)
+	r.SharedParts = []string{"bad"}
+	var asked []ReserveMemory
+	for _, effect := range c.Step(0, r) {
+		if e, ok := effect.(ReserveMemory); ok {
+			asked = append(asked, e)
+		}
+	}
+	g.Expect(len(asked)).To(BeNumerically(">", 1))
+	quarantinePart(c, "bad", 0)
+	var last []Effect
+	for _, e := range asked {
+		last = c.Step(time.Second, ReservationResult{RequestNumber: 1, Attempt: 1, Upstream: e.Member.Upstream, OK: true})
+	}
+	g.Expect(firstSend(last)).To(BeNil())
+	g.Expect(firstRefuse(last).Code).To(Equal(CodePromptQuarantined))
+	released := 0
+	for _, effect := range last {
+		if _, ok := effect.(ReleaseMemory); ok {
+			released++
+		}
+	}
+	g.Expect(released).To(Equal(len(asked)))
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -85,9 +85,12 @@
 func (c *Core) receiveReport(host string, report WorkReport, now time.Duration) {
 	p := c.peers[host]
 	if p == nil {
-		p = &peer{}
+		p = &peer{lastReceived: now - 2*maxPeerSilence}
 		c.peers[host] = p
 	}
+	if now-p.lastReceived > maxPeerSilence {
+		c.quarantine.AnnounceSoon(now)
+	}
 	p.lastReceived = now
 	if report.Full || report.Boot != p.bootNumber {
 		p.bootNumber = report.Boot
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -138,6 +138,10 @@
 	// when they did, crashingArrivals when requests with the part reached servers.
 	crashingPart              string
 	crashes, crashingArrivals []time.Duration
+	// healed is set when servers no longer crash. cutOff holds the hosts that hear
+	// nothing from the others and are not heard by them.
+	healed bool
+	cutOff map[int]bool
 	// quarantined holds when hosts quarantined a part, by part.
 	quarantined map[string][]time.Duration
 }
@@ -158,7 +162,7 @@
 	sim := &simulation{
 		engine: testEngine(), servers: make(map[string]*simulatedServer), jobs: make(map[string]*job),
 		reportDelay: 4 * time.Millisecond, reservedTokens: make(map[string]int),
-		quarantined: make(map[string][]time.Duration),
+		quarantined: make(map[string][]time.Duration), cutOff: make(map[int]bool),
 	}
 	var list []Upstream
 	for i := range servers {
@@ -227,11 +231,7 @@
 		j := sim.jobs[jobKey(host, e.RequestNumber)]
 		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt})
 	case BroadcastQuarantine:
-		for other := range sim.cores {
-			if other != host {
-				sim.schedule(sim.reportDelay, func() { sim.step(other, QuarantineReported(e)) })
-			}
-		}
+		sim.broadcast(host, QuarantineReported(e))
 	case QuarantineChanged:
 		if e.State == QuarantineBegun {
 			sim.quarantined[e.Verdict.Part] = append(sim.quarantined[e.Verdict.Part], sim.now)
@@ -257,10 +257,15 @@
 	case ReleaseMemory:
 		sim.schedule(5*time.Millisecond, func() { delete(sim.reservedTokens, e.Member.ReservationID+e.Member.Upstream) })
 	case BroadcastReport:
-		for other := range sim.cores {
-			if other != host {
-				sim.schedule(sim.reportDelay, func() { sim.step(other, ReportReceived{Host: fmt.Sprint("h", host), Report: e.Report}) })
-			}
+		sim.broadcast(host, ReportReceived{Host: fmt.Sprint("h", host), Report: e.Report})
+	}
+}
+
+// broadcast delivers an event of one host to all others that it reaches.
+func (sim *simulation) broadcast(host int, e Event) {
+	for other := range sim.cores {
+		if other != host && !sim.cutOff[host] && !sim.cutOff[other] {
+			sim.schedule(sim.reportDelay, func() { sim.step(other, e) })
 		}
 	}
 }
@@ -434,7 +439,7 @@
 		return
 	}
 	for _, j := range s.decoders {
-		if sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
+		if !sim.healed && sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
 			sim.crash(s, 3*time.Second)
 			return
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -267,8 +267,8 @@
 	return due
 }
 
-// AnnounceSoon makes this host announce its verdicts within half an interval, for
-// hosts that have just become known.
+// AnnounceSoon makes this host announce its verdicts within half an interval, for a
+// host that is heard of for the first time, or again.
 func (t *Table) AnnounceSoon(now time.Duration) {
 	for _, part := range slices.Sorted(maps.Keys(t.records)) {
 		r := t.records[part]
