Test that quarantines reach all hosts, through relays and later ones too

TestQuarantineNewsReachAllHosts with 3 and 20 hosts, and TestHostThatStartsLaterRefusesQuarantinedPrompts: a host that starts after the crashes refuses the prompt with the time of the next trial, and no server crashes again.

--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -121,3 +122,35 @@
 	shareBefore := float64(served[0].Load()) / float64(sound[0].Load())
 	g.Expect(float64(served[1].Load()) / float64(sound[1].Load())).To(BeNumerically(">=", minServedShare*shareBefore))
 }
+
+// TestHostThatStartsLaterRefusesQuarantinedPrompts guards against new hosts that try
+// for themselves what the others have found to crash servers.
+func TestHostThatStartsLaterRefusesQuarantinedPrompts(t *testing.T) {
+	g := NewWithT(t)
+	h, store, engines, _ := setUp(t)
+	for i := range 2 {
+		s := standin.NewServer(fmt.Sprint("i-e", 3+i))
+		t.Cleanup(s.Close)
+		s.Register(store, "llm", "a", standin.StateReady)
+		engines = append(engines, s)
+	}
+	for _, s := range engines {
+		s.CrashUnder("bad0")
+	}
+	g.Expect(h.sendPrompt("sound-1", "5c:40,own:20").status).To(Equal(http.StatusOK))
+	for i := range 3 {
+		h.sendPrompt(fmt.Sprint("bad-", i), fmt.Sprintf("5c:40,bad0:30,own%d:20", i))
+		time.Sleep(200 * time.Millisecond)
+	}
+	h.await(func() bool { return h.logs.hasEvent(7026) }, "the part is quarantined")
+	crashes := len(crashTimes(engines))
+	later := startHost(t, "h2", store)
+	later.await(func() bool { return later.logs.hasEvent(7026) }, "the new host hears of it")
+	refused := later.sendPrompt("bad-9", "5c:40,bad0:30,own9:20")
+	g.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	retryAfter, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(retryAfter).To(BeNumerically("~", 25, 6))
+	g.Expect(later.logs.linesOf("bad-9")).To(ContainElement(And(HaveKeyWithValue("part", "bad0"), HaveKeyWithValue("code", "prompt_quarantined"))))
+	g.Expect(crashTimes(engines)).To(HaveLen(crashes))
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/clock"
+	"github.com/chestnutline/chestnutline/internal/quarantine"
 	"github.com/chestnutline/chestnutline/platform"
 )
 
@@ -154,30 +155,71 @@
 	for _, hosts := range []int{3, 20} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			g := NewWithT(t)
-			var all []*peers
-			var recorders []*limitRecorder
-			var objects []platform.Object
-			for i := range hosts {
-				recorder := &limitRecorder{}
-				self := member{name: fmt.Sprintf("h%02d", i), address: freeAddress(t), dataCentre: fmt.Sprint("dc", i%2), processorShare: 0.2}
-				p, err := newPeers(self, clock.Start(), &log.Logger{Handler: discard.New()}, recorder.post)
-				g.Expect(err).NotTo(HaveOccurred())
-				servePeers(t, p)
-				all, recorders = append(all, p), append(recorders, recorder)
-				spec := fmt.Sprintf(`{"address":%q,"data_centre":%q,"power":0.2}`, self.address, self.dataCentre)
-				objects = append(objects, platform.Object{Name: self.name, Spec: []byte(spec)})
-			}
-			for _, p := range all {
-				p.replaceMembers(objects)
-			}
+			recorders := make([]limitRecorder, hosts)
+			all := startPeers(t, hosts, func(i int) func(balance.Event) { return recorders[i].post })
 			for origin, limit := range map[int]float64{0: 2, hosts - 1: 0} {
 				all[origin].broadcastLimit("i-1", limit)
-				for i, recorder := range recorders {
+				for i := range recorders {
+					if i != origin {
+						g.Eventually(recorders[i].last, 5*time.Second).Should(Equal(limit), "host %d of origin %d", i, origin)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestQuarantineNewsReachAllHosts guards against hosts that have to see the crashes
+// under a prompt for themselves.
+func TestQuarantineNewsReachAllHosts(t *testing.T) {
+	report := balance.QuarantineReport{
+		Crashes:  []quarantine.Crash{{Server: "i-1/1", Host: "h00", Parts: []string{"bad"}}},
+		Verdicts: []quarantine.Verdict{{Part: "bad", Together: []string{"bad"}, Servers: []string{"i-1/1"}, Hosts: []string{"h00"}, HoldLeft: time.Second}},
+		Sound:    []string{"all"},
+	}
+	for _, hosts := range []int{3, 20} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			g := NewWithT(t)
+			received := make([]chan balance.QuarantineReport, hosts)
+			all := startPeers(t, hosts, func(i int) func(balance.Event) {
+				received[i] = make(chan balance.QuarantineReport, 10)
+				return func(e balance.Event) {
+					if reported, ok := e.(balance.QuarantineReported); ok {
+						received[i] <- reported.Report
+					}
+				}
+			})
+			for _, origin := range []int{0, hosts - 1} {
+				all[origin].broadcastQuarantine(report)
+				for i := range received {
 					if i != origin {
-						g.Eventually(recorder.last, 5*time.Second).Should(Equal(limit), "host %d of origin %d", i, origin)
+						g.Eventually(received[i], 5*time.Second).Should(Receive(Equal(report)), "host %d of origin %d", i, origin)
 					}
 				}
 			}
 		})
 	}
 }
+
+// startPeers starts the given number of hosts in two data centres, which know each
+// other. The function postOf returns what takes the events of one of them.
+func startPeers(t *testing.T, hosts int, postOf func(i int) func(balance.Event)) []*peers {
+	t.Helper()
+	var all []*peers
+	var objects []platform.Object
+	for i := range hosts {
+		self := member{name: fmt.Sprintf("h%02d", i), address: freeAddress(t), dataCentre: fmt.Sprint("dc", i%2), processorShare: 0.2}
+		p, err := newPeers(self, clock.Start(), &log.Logger{Handler: discard.New()}, postOf(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		servePeers(t, p)
+		all = append(all, p)
+		spec := fmt.Sprintf(`{"address":%q,"data_centre":%q,"power":0.2}`, self.address, self.dataCentre)
+		objects = append(objects, platform.Object{Name: self.name, Spec: []byte(spec)})
+	}
+	for _, p := range all {
+		p.replaceMembers(objects)
+	}
+	return all
+}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -114,7 +114,7 @@
 	g.Expect(matches(second, time.Minute, "bad")).To(BeTrue())
 	_, begun := second.BeginTrial("bad", time.Minute+due[0].HoldLeft-time.Millisecond)
 	g.Expect(begun).To(BeFalse(), "the hold is the same everywhere")
-	g.Expect(second.Due(time.Minute + config.AnnounceInterval/3)).To(BeEmpty(), "it was announced a moment ago")
+	g.Expect(second.Due(time.Minute+config.AnnounceInterval/3)).To(BeEmpty(), "it was announced a moment ago")
 	third := newTable(t, config)
 	third.RecordSound([]string{"bad"}, time.Second)
 	g.Expect(third.Adopt(due[0], 2*time.Second)).To(BeFalse())
