--- /dev/null
+++ b/internal/gateway/answers_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutline/chestnutline/platform/standin"
+)
+
+// wholeStream returns the stream that answers a request.
+func wholeStream(request string, events int) string {
+	var text strings.Builder
+	for id := range events {
+		text.WriteString(standin.FormatEvent(request, id))
+	}
+	return text.String()
+}
+
+// TestAnswersThatEndWithTheirConnectionAreDelivered guards against answers that are
+// lost because they have neither a length nor chunks.
+func TestAnswersThatEndWithTheirConnectionAreDelivered(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, desks := setUp(t)
+	setFault(engines, standin.Unframed)
+	setFault(desks, standin.Unframed)
+	stream := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(stream.readError).NotTo(HaveOccurred())
+	g.Expect(stream.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	call := h.send("GET", "/g/", "", standin.HeaderRequestID, "r-2", standin.HeaderKey, standin.KeyHeaderValue("k1"))
+	g.Expect(call.status).To(Equal(http.StatusOK))
+	g.Expect(call.body).To(HaveSuffix("for r-2"))
+}
+
+// TestStreamThatClosesWithinAnEventIsBrokenOff guards against streams without length
+// or chunks that look complete although their server broke them off.
+func TestStreamThatClosesWithinAnEventIsBrokenOff(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, _ := setUp(t)
+	engines[0].SetFault(standin.UnframedTruncating)
+	engines[1].SetFault(standin.Unframed)
+	for range 4 {
+		answer := h.sendPrompt("r-1", "5c:40,own:20")
+		g.Expect(answer.readError).NotTo(HaveOccurred())
+		g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)), "continued at the other server")
+	}
+	g.Expect(receivedCount(engines[:1])).To(BeNumerically(">", 0))
+	setFault(engines, standin.UnframedTruncating)
+	answer := h.sendPrompt("r-2", "5c:40,own:20")
+	g.Expect(answer.readError).To(HaveOccurred(), "no server completes it")
+}
+
+// TestEndlessBytesAreCutOff guards against servers that send a header or a body
+// without end until the host closes the connection.
+func TestEndlessBytesAreCutOff(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.EndlessHeader, standin.EndlessBody} {
+		t.Run(string(fault), func(t *testing.T) {
+			g := NewWithT(t)
+			h, _, engines, desks := setUp(t)
+			setFault(engines, fault)
+			setFault(desks, fault)
+			for _, request := range []struct{ path, usage string }{{"/s/", "100,20"}, {"/u/", ""}, {"/g/", ""}} {
+				start := time.Now()
+				answer := h.send("POST", request.path, "", standin.HeaderRequestID, "r", standin.HeaderKey, standin.KeyHeaderValue("k1"), standin.HeaderUsage, request.usage)
+				g.Expect(answer.status).To(Equal(http.StatusBadGateway), request.path)
+				g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second), "not held until the deadline")
+			}
+			for _, s := range append(engines, desks...) {
+				g.Eventually(func() int { return s.CancelledRequests() - len(s.ReceivedRequests()) }, 3*time.Second).Should(BeZero(), "its connections are closed")
+			}
+		})
+	}
+}
+
+// TestServerThatPausesIsLeftToFinish guards against streams that are sent again
+// because a sound server fell silent for a moment.
+func TestServerThatPausesIsLeftToFinish(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, _ := setUp(t)
+	setFault(engines, standin.Pausing)
+	answer := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(answer.readError).NotTo(HaveOccurred())
+	g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
+	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
+}
