Repeat a stream that closes before its first event

Callers got a success without any event when a server crashed before its first event under an answer with neither a length nor chunks: the close of the connection looked like the end of the stream. Such a stream now counts as broken off, is repeated where that is allowed, and counts as a crash under its prompt.

TestStreamThatClosesBeforeItsFirstEventIsRepeated got an empty body before and the whole stream after.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -53,6 +53,21 @@
 	g.Expect(answer.readError).To(HaveOccurred(), "no server completes it")
 }
 
+// TestStreamThatClosesBeforeItsFirstEventIsRepeated guards against a crash that looks
+// like an empty stream when its answer has neither a length nor chunks.
+func TestStreamThatClosesBeforeItsFirstEventIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, _ := setUp(t)
+	engines[0].SetFault(standin.UnframedEmpty)
+	engines[1].SetFault(standin.Unframed)
+	for range 4 {
+		answer := h.sendPrompt("r-1", "5c:40,own:20")
+		g.Expect(answer.readError).NotTo(HaveOccurred())
+		g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	}
+	g.Expect(receivedCount(engines[:1])).To(BeNumerically(">", 0))
+}
+
 // TestEndlessBytesAreCutOff guards against servers that send a header or a body
 // without end until the host closes the connection.
 func TestEndlessBytesAreCutOff(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,10 @@
 // maxEventBytes limits the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("event of a stream is too large")
+var (
+	errEventTooLarge = errors.New("event of a stream is too large")
+	errNoEvents      = errors.New("connection closed before the first event of a stream")
+)
 
 // noEventID is the id of an event that carries none.
 const noEventID = -1
@@ -85,12 +88,22 @@
 }
 
 // finishStream completes a stream after its last event. If the caller has got
-// no event, it now gets the header.
+// no event, it now gets the header. A stream without events that ends with its
+// connection was broken off: its end can't be told from that of its server.
 func (a *attempt) finishStream(response *http.Response) outcome {
+	if a.lastEventID == noEventID && a.eventsSent == 0 && isUnframed(response) {
+		return outcome{class: balance.FailureAnswerLost, status: response.StatusCode, connectionBroken: true, err: errNoEvents}
+	}
 	if !a.responseStarted {
 		a.startResponse(response)
 	}
-	return outcome{}
+	return outcome{status: response.StatusCode}
+}
+
+// isUnframed reports whether a response has neither a length nor chunks, so that the
+// close of its connection is its only end.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // startResponse sends the header of the answer to the caller.
