Do not pass on a part of an error response as the whole

A server's error response of more than 256 KiB, or without end, was cut there and passed on under the server's status and signature, so that its caller could not tell that bytes were missing. It now counts as a lost answer.

TestEndlessBytesAreCutOff/endless-failure: status 500 with a cut body before, 502 after.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -71,7 +71,7 @@
 // TestEndlessBytesAreCutOff guards against servers that send a header or a body
 // without end until the host closes the connection.
 func TestEndlessBytesAreCutOff(t *testing.T) {
-	for _, fault := range []standin.Fault{standin.EndlessHeader, standin.EndlessBody} {
+	for _, fault := range []standin.Fault{standin.EndlessHeader, standin.EndlessBody, standin.EndlessFailure} {
 		t.Run(string(fault), func(t *testing.T) {
 			g := NewWithT(t)
 			h, _, engines, desks := setUp(t)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,10 +28,11 @@
 
 // Reasons for which this host ends an attempt or does not accept its response.
 var (
-	errNotConnected = errors.New("no connection in time")
-	errNoData       = errors.New("no data in time")
-	errOtherRequest = errors.New("answer to another request")
-	errUnsigned     = errors.New("success without the server's signature")
+	errNotConnected    = errors.New("no connection in time")
+	errNoData          = errors.New("no data in time")
+	errOtherRequest    = errors.New("answer to another request")
+	errUnsigned        = errors.New("success without the server's signature")
+	errFailureTooLarge = errors.New("error response of a server is too large")
 )
 
 // attempt is one try to have an upstream answer a request.
@@ -197,12 +198,16 @@
 }
 
 // bufferFailure keeps the upstream's error response, which becomes the answer
-// if no attempt succeeds.
+// if no attempt succeeds. One that reaches maxBufferedBytes is dropped, since a part
+// of it would look complete.
 func (a *attempt) bufferFailure(response *http.Response, head platform.UpstreamResponse) outcome {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: err}
 	}
+	if len(body) == maxBufferedBytes {
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errFailureTooLarge}
+	}
 	a.lastFailure = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	return outcome{class: balance.FailureUpstreamError, status: head.Status, failedAddress: head.FaultyHelper}
 }
