Bound the header of a server's response

The transport read up to 10 MiB of a header before it gave up, and each such response is kept in memory: a few dozen at once exceed what a host has. The limit is 64 KiB now.

TestHeaderWithoutEndIsCutOff: the connection stayed open for 14.8 MB of a header without end before; below 8 MB, which the sockets may buffer, after.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -41,6 +41,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the number of unused connections per address.
 	MaxIdle int
+	// MaxHeaderBytes bounds the header of a response, of which all is kept in memory.
+	MaxHeaderBytes int64
 	// SilenceTimeout is after how long a connection breaks whose other end no longer
 	// acknowledges anything, while a response is awaited; 0 leaves it to the system.
 	// A longer one tolerates more lost packets, a shorter one ends requests at
@@ -56,9 +58,12 @@
 	return net.KeepAliveConfig{Enable: interval > 0, Idle: interval, Interval: interval, Count: probes}
 }
 
+// DefaultMaxHeaderBytes is far above the headers that upstreams send.
+const DefaultMaxHeaderBytes = 64 << 10
+
 // DefaultConfig returns the limits for upstreams in the same region.
 func DefaultConfig() Config {
-	return Config{DialTimeout: time.Second, IdleTimeout: 30 * time.Second, MaxIdle: 256}
+	return Config{DialTimeout: time.Second, IdleTimeout: 30 * time.Second, MaxIdle: 256, MaxHeaderBytes: DefaultMaxHeaderBytes}
 }
 
 // Client sends requests and keeps connections for later ones. Its methods may be
@@ -96,6 +101,8 @@
 		IdleConnTimeout:     c.config.IdleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     32 << 10,
+
+		MaxResponseHeaderBytes: c.config.MaxHeaderBytes,
 	}
 }
 
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -300,3 +300,40 @@
 		t.Errorf("a silent connection breaks after %v, want %v: options %v", got, config.SilenceTimeout, options)
 	}
 }
+
+// TestHeaderWithoutEndIsCutOff guards against a header that fills the memory of the
+// host until the upstream ends it.
+func TestHeaderWithoutEndIsCutOff(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	// Beyond the limit, the buffers of the transport and of two sockets may fill.
+	const tolerated = 8 << 20
+	sent := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		total, _ := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		line := "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"
+		for total < 2*tolerated {
+			n, err := io.WriteString(conn, line)
+			total += n
+			if err != nil {
+				break
+			}
+		}
+		sent <- total
+	}()
+	_, err = httpcall.New(httpcall.DefaultConfig()).Do(context.Background(), newPost(l.Addr().String()))
+	if !errors.Is(err, httpcall.ErrResponseLost) {
+		t.Errorf("error %v, want %v", err, httpcall.ErrResponseLost)
+	}
+	if total := <-sent; total > tolerated {
+		t.Errorf("the connection was open for %d bytes of a header", total)
+	}
+}
