Detect silence of servers also while sent bytes are unacknowledged

Keep-alive probes are not sent while bytes wait for their acknowledgement, so a request to a server that goes dark at that moment waited for its own time limit. A TCP_USER_TIMEOUT also decides when probes give up, whatever their number, so it must not come from elsewhere with another value. Connections to servers now have one of the same 3 s that the probes take; it is above the second for which a sound server may be silent.

TestConnectionsDetectSilentServers reads the option from the socket: 0 before, 3 s after. No library here sets one: the code of the sockets' options is in internal/httpcall alone.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -15,9 +15,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Errors of Client.Do. Every error of Do wraps one of them; use errors.Is.
@@ -58,6 +60,23 @@
 	return net.KeepAliveConfig{Enable: interval > 0, Idle: interval, Interval: interval, Count: probes}
 }
 
+// limitSilence sets TCP_USER_TIMEOUT to SilenceTimeout on a new socket. Keep-alive
+// alone does not detect silence while sent bytes wait for their acknowledgement, and
+// a user timeout from elsewhere would override the number of its probes.
+func (c Config) limitSilence(_, _ string, raw syscall.RawConn) error {
+	if c.SilenceTimeout <= 0 {
+		return nil
+	}
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.SilenceTimeout.Milliseconds()))
+	})
+	if err == nil {
+		err = optionErr
+	}
+	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+}
+
 // DefaultMaxHeaderBytes is far above the headers that upstreams send.
 const DefaultMaxHeaderBytes = 64 << 10
 
@@ -87,7 +106,7 @@
 
 // newTransport returns a transport whose connections count their writes.
 func (c *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive()}
+	dialer := &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive(), Control: c.config.limitSilence}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chestnutline/chestnutline/internal/httpcall"
 )
 
@@ -278,7 +280,7 @@
 			return
 		}
 		if err := raw.Control(func(fd uintptr) {
-			for _, option := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL, syscall.TCP_KEEPCNT} {
+			for _, option := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL, syscall.TCP_KEEPCNT, unix.TCP_USER_TIMEOUT} {
 				value, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
 				if err != nil {
 					t.Error(err)
@@ -299,6 +301,9 @@
 	if got := time.Duration(silence) * time.Second; got != config.SilenceTimeout {
 		t.Errorf("a silent connection breaks after %v, want %v: options %v", got, config.SilenceTimeout, options)
 	}
+	if got := time.Duration(options[unix.TCP_USER_TIMEOUT]) * time.Millisecond; got != config.SilenceTimeout {
+		t.Errorf("a connection with unacknowledged bytes breaks after %v, want %v", got, config.SilenceTimeout)
+	}
 }
 
 // TestHeaderWithoutEndIsCutOff guards against a header that fills the memory of the
