--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	apexjson "github.com/apex/log/handlers/json"
 	"github.com/oklog/run"
 
+	"github.com/chestnutline/chestnutline/internal/httpcall"
 	"github.com/chestnutline/chestnutline/platform/standin"
 )
 
@@ -91,6 +92,13 @@
 
 // startHost starts a gateway and waits until it is ready.
 func startHost(t *testing.T, name string, store *standin.Store) *testHost {
+	t.Helper()
+	return startHostWithDialer(t, name, store, nil)
+}
+
+// startHostWithDialer starts a gateway that opens its connections to servers by the
+// given dialer, and waits until it is ready.
+func startHostWithDialer(t *testing.T, name string, store *standin.Store, dialer httpcall.Dialer) *testHost {
 	t.Helper()
 	callers, ready, peers := freeAddress(t), freeAddress(t), freeAddress(t)
 	_, peerPort, _ := net.SplitHostPort(peers)
@@ -106,7 +114,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	settings := Settings{File: file, Metrics: freeAddress(t), Policy: "predict", LogLevel: "info"}
+	settings := Settings{File: file, Metrics: freeAddress(t), Policy: "predict", LogLevel: "info", upstreamDialer: dialer}
 	if findings := settings.Validate(); len(findings) > 0 {
 		t.Fatal(findings)
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -112,7 +112,7 @@
 	p.newWatchers()
 	httpClient := httpcall.New(httpcall.Config{
 		DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamDialTimeout, MaxIdle: 1, SilenceTimeout: upstreamSilenceTimeout,
-		MaxHeaderBytes: httpcall.DefaultMaxHeaderBytes,
+		MaxHeaderBytes: httpcall.DefaultMaxHeaderBytes, Dialer: s.upstreamDialer,
 	})
 	p.control.orders = &orderSender{httpClient: httpClient, logger: logger, metrics: p.metrics, post: p.control.post}
 	p.control.broadcastReport = p.peers.broadcastReport
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/finding"
+	"github.com/chestnutline/chestnutline/internal/httpcall"
 	"github.com/chestnutline/chestnutline/internal/settings"
 	"github.com/chestnutline/chestnutline/platform"
 )
@@ -20,6 +21,8 @@
 
 	// platformSettings is the content of File; Validate reads it.
 	platformSettings platform.Settings
+	// upstreamDialer opens the connections to servers; nil means a plain one.
+	upstreamDialer httpcall.Dialer
 }
 
 // Level returns the name of the least severe level that is logged. It
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -50,6 +50,13 @@
 	// A longer one tolerates more lost packets, a shorter one ends requests at
 	// servers that have gone dark sooner. It is rounded down to a multiple of 3 s.
 	SilenceTimeout time.Duration
+	// Dialer opens connections; nil means a net.Dialer with the limits above.
+	Dialer Dialer
+}
+
+// Dialer opens connections. A net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // keepAlive returns the configuration of TCP keep-alive that breaks a silent
@@ -106,7 +113,10 @@
 
 // newTransport returns a transport whose connections count their writes.
 func (c *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive(), Control: c.config.limitSilence}
+	dialer := c.config.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive(), Control: c.config.limitSilence}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
