Judge paths to servers by a host's own connections only

Cause: whether a server can be reached is a fact about two ends, but was kept as one about the server. Failed connections of any host counted like one's own, and any answer that another host got, or that came on a connection from before the cut, cleared what a host had found out, so that it tried again, failed and flapped.

Change: internal/balance/paths.go keeps the path to each data centre from this host's own connections. The first failure is looked into by a probe (a connection that is closed at once), the second one in 1.5 s cuts the data centre off and has the others probed too; probes every 0.25 to 1 s find the path back, and no request of a caller is spent on that. Answers count only if their connection was begun after the last failure. Failures of other hosts make a server less preferred.

Why it works: a cut-off host has no say in what others believe, and its own belief ends only with a connection that succeeds.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -28,8 +28,10 @@
 	waiting []*request
 	// budgets holds the retry budget of each service, by the service's name.
 	budgets map[string]*retryBudget
-	// dataCentres holds the state of each data centre, by its name.
-	dataCentres map[string]*dataCentreState
+	// dataCentres lists the data centres that have upstreams.
+	dataCentres []string
+	// paths holds the state of this host's path to each data centre, by its name.
+	paths map[string]*pathState
 	// peers holds what is known about each other host, by its name.
 	peers map[string]*peer
 	// otherHosts is the number of other hosts.
@@ -77,7 +79,7 @@
 		servicePools: make(map[string]*servicePool),
 		requests:     make(map[uint64]*request),
 		budgets:      make(map[string]*retryBudget),
-		dataCentres:  make(map[string]*dataCentreState),
+		paths:        make(map[string]*pathState),
 		peers:        make(map[string]*peer),
 	}, nil
 }
@@ -111,6 +113,8 @@
 		c.receiveReport(e.Host, e.Report, now)
 	case PeersChanged:
 		c.otherHosts, c.reportDelay = e.OtherHosts, e.ReportDelay
+	case ConnectionProbed:
+		c.handleConnectionProbed(e, now)
 	case QuarantineReported:
 		c.receiveQuarantineReport(e.Report, now)
 	case Tick:
@@ -132,6 +136,7 @@
 	}
 	c.renewReservations(now)
 	c.updateQuarantine(now)
+	c.probePaths(now)
 }
 
 // Waiting returns the number of requests in the queue. The gateway exports it
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -177,6 +177,15 @@
 	Before, PerSecond float64
 }
 
+// ProbeConnection asks for a connection to a server, which is closed at once. A
+// ConnectionProbed event answers it.
+type ProbeConnection struct {
+	// Upstream is the id of the server, Address its network address.
+	Upstream, Address string
+	// Timeout limits the time for connecting.
+	Timeout time.Duration
+}
+
 // BroadcastQuarantine tells all other hosts what this one has found out about parts
 // of prompts.
 type BroadcastQuarantine struct{ Report QuarantineReport }
@@ -204,6 +213,7 @@
 )
 
 func (Send) effect()                 {}
+func (ProbeConnection) effect()      {}
 func (BroadcastQuarantine) effect()  {}
 func (QuarantineChanged) effect()    {}
 func (UpstreamLimitChanged) effect() {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -159,6 +159,13 @@
 	Report WorkReport
 }
 
+// ConnectionProbed is the answer to a ProbeConnection effect.
+type ConnectionProbed struct {
+	// Upstream is the id of the server.
+	Upstream  string
+	Connected bool
+}
+
 // QuarantineReported carries what another host has found out about parts of prompts.
 type QuarantineReported struct{ Report QuarantineReport }
 
@@ -184,4 +191,5 @@
 func (ReportReceived) event()     {}
 func (PeersChanged) event()       {}
 func (QuarantineReported) event() {}
+func (ConnectionProbed) event()   {}
 func (Tick) event()               {}
--- a/internal/balance/faults_test.go
+++ b/internal/balance/faults_test.go
@@ -58,8 +58,8 @@
 func TestUnreachableDataCentreGetsNoRequests(t *testing.T) {
 	c := newTestCore(t)
 	now := time.Second
-	c.recordOutcome(c.upstreams["llmb1"], FailureNotConnected, now)
-	c.recordOutcome(c.upstreams["llmb2"], FailureNotConnected, now)
+	c.recordOutcome(c.upstreams["llmb1"], FailureNotConnected, now, now)
+	c.recordOutcome(c.upstreams["llmb2"], FailureNotConnected, now, now)
 	now += 600 * time.Millisecond
 	for n := range uint64(20) {
 		s := firstSend(c.Step(now, newArrival(n+1, longPromptRoute, "llm", 150000, now)))
@@ -72,8 +72,8 @@
 			}
 		}
 	}
-	c.recordOutcome(c.upstreams["deskb1"], "", now)
-	if now < c.dataCentre("b").avoidUntil {
+	c.recordOutcome(c.upstreams["deskb1"], "", now, now)
+	if c.path("b").cut {
 		t.Error("the data centre is still avoided after an answer from there")
 	}
 }
@@ -104,7 +104,7 @@
 func TestIsolatedHostRefusesRequestsAtOnce(t *testing.T) {
 	c := newTestCore(t)
 	for _, u := range c.upstreams {
-		c.recordOutcome(u, FailureNotConnected, time.Second)
+		c.recordOutcome(u, FailureNotConnected, time.Second, time.Second)
 	}
 	r := firstRefuse(c.Step(time.Second, newArrival(1, unsafeRoute, "desk", 0, time.Second)))
 	if r == nil || r.Code != CodeUpstreamsUnreachable || r.RetryAfter <= 0 {
@@ -113,7 +113,7 @@
 	if !c.Isolated(time.Second) {
 		t.Error("the host does not count as isolated while it reaches no server")
 	}
-	c.recordOutcome(c.upstreams["deskb1"], "", time.Second)
+	c.recordOutcome(c.upstreams["deskb1"], "", time.Second, time.Second)
 	if c.Isolated(time.Second) {
 		t.Error("the host counts as isolated although one server was reached")
 	}
@@ -194,7 +194,7 @@
 		}
 	}
 	u := remote.upstreams[s.Members[0].Upstream]
-	remote.recordOutcome(u, FailureNotConnected, time.Second)
+	remote.recordOutcome(u, FailureNotConnected, time.Second, time.Second)
 	for _, report := range reports {
 		remote.Step(time.Second, ReportReceived{Host: "here", Report: report})
 	}
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -52,7 +52,7 @@
 	var untried, alreadyTried []*upstream
 	for _, u := range pool.upstreams {
 		switch {
-		case !u.usable(now), now < c.dataCentre(u.DataCentre).avoidUntil, !c.admits(u, r, now):
+		case !u.usable(now), c.path(u.DataCentre).cut, !c.admits(u, r, now):
 		case r.tried[u.ID]:
 			alreadyTried = append(alreadyTried, u)
 		default:
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -120,35 +120,6 @@
 	c.waiting = append(remaining, c.waiting...)
 }
 
-// allUnreachable reports whether this host can't reach any server of the
-// request's service. Another host may reach them, so the caller is refused at
-// once.
-func (c *Core) allUnreachable(r *request, now time.Duration) bool {
-	for _, u := range c.servicePools[r.Service].upstreams {
-		if !u.Draining && !c.isUnreachable(u, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// isUnreachable reports whether an upstream, or its data centre, is taken to be
-// out of reach.
-func (c *Core) isUnreachable(u *upstream, now time.Duration) bool {
-	return u.backoff > 0 && now < u.avoidUntil || now < c.dataCentre(u.DataCentre).avoidUntil
-}
-
-// Isolated reports whether this host can't reach any upstream at all. It
-// returns false if no upstream is registered.
-func (c *Core) Isolated(now time.Duration) bool {
-	for _, u := range c.upstreams {
-		if !c.isUnreachable(u, now) {
-			return false
-		}
-	}
-	return len(c.upstreams) > 0
-}
-
 // refuse gives the final answer to a request that was not executed.
 func (c *Core) refuse(r *request, code ErrorCode, now time.Duration) {
 	delete(c.requests, r.RequestNumber)
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -105,7 +105,7 @@
 	for _, e := range report.Ended {
 		c.dropWork(requestKey{host, e.RequestNumber}, now)
 		if u := c.upstreams[e.Upstream]; u != nil && e.Class != FailureCallerLeft {
-			c.recordOutcome(u, e.Class, now)
+			c.recordReportedOutcome(u, e.Class, now)
 		}
 	}
 }
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -24,8 +24,10 @@
 	// members lists the upstreams of the current attempt, the leader first;
 	// empty if there is none.
 	members []*upstream
-	// sent is set once the current attempt has been handed to an upstream.
-	sent bool
+	// sent is set once the current attempt has been handed to an upstream, at the
+	// time sentAt.
+	sent   bool
+	sentAt time.Duration
 	// reservations lists the memory reservations of the current attempt.
 	// unconfirmed is the number of those that the servers have not confirmed
 	// yet.
@@ -172,7 +174,7 @@
 // time limits. The limits for the pieces of the answer are set only if another
 // attempt would be allowed when they are exceeded.
 func (c *Core) sendAttempt(r *request, p *plan, now time.Duration) {
-	r.sent = true
+	r.sent, r.sentAt = true, now
 	r.tried[p.members[0].ID] = true
 	s := Send{
 		RequestNumber: r.RequestNumber, Attempt: r.attempt, Deadline: r.Deadline,
@@ -283,7 +285,7 @@
 	if r == nil {
 		return
 	}
-	c.recordOutcome(r.members[0], "", now)
+	c.recordOutcome(r.members[0], "", r.sentAt, now)
 	if e.Success {
 		c.recordSoundParts(r, now)
 	}
@@ -344,7 +346,7 @@
 	if e.ConnectionBroken && failedMember == r.members[0] {
 		c.recordCrash(r, failedMember, now)
 	}
-	c.recordOutcome(failedMember, observed, now)
+	c.recordOutcome(failedMember, observed, r.sentAt, now)
 	r.tried[failedMember.ID] = true
 	c.endAttempt(r, e.Class, now)
 	if e.Class.mayHaveRun() {
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -56,7 +56,7 @@
 // server.
 func (c *Core) recordReservationFailure(u *upstream, class FailureClass, now time.Duration) {
 	if class == FailureNotConnected {
-		c.recordOutcome(u, FailureNotConnected, now)
+		c.recordOutcome(u, FailureNotConnected, now, now)
 		return
 	}
 	u.avoidUntil = max(u.avoidUntil, now+noCapacityBackoff)
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -97,62 +97,6 @@
 	}
 }
 
-// dataCentreState is what requests have shown about the connections to one data
-// centre.
-type dataCentreState struct {
-	// unreachable holds the time of the latest failure, by upstream id, for
-	// each upstream to which no connection could be made since the last answer
-	// from the data centre.
-	unreachable map[string]time.Duration
-	// avoidUntil is the time until which the whole data centre is avoided.
-	avoidUntil time.Duration
-}
-
-// minUnreachable is the number of upstreams that must be out of reach at the
-// same time for their data centre to count as cut off. A single one may just
-// have crashed.
-const minUnreachable = 2
-
-const (
-	// unreachableWindow is the time within which the failures count together.
-	unreachableWindow = 1500 * time.Millisecond
-	// dataCentreBackoff is the pause between two attempts to reach a data
-	// centre.
-	dataCentreBackoff = time.Second
-)
-
-// dataCentre returns the state of a data centre, which it creates if necessary.
-func (c *Core) dataCentre(name string) *dataCentreState {
-	state := c.dataCentres[name]
-	if state == nil {
-		state = &dataCentreState{unreachable: make(map[string]time.Duration)}
-		c.dataCentres[name] = state
-	}
-	return state
-}
-
-// recordReachability records whether a connection to an upstream could be made,
-// and what that shows about its data centre. When several upstreams are out of
-// reach, the whole data centre is avoided.
-func (c *Core) recordReachability(u *upstream, reached bool, now time.Duration) {
-	state := c.dataCentre(u.DataCentre)
-	if reached {
-		clear(state.unreachable)
-		state.avoidUntil = 0
-		return
-	}
-	state.unreachable[u.ID] = now
-	for id, failedAt := range state.unreachable {
-		if now-failedAt > unreachableWindow {
-			delete(state.unreachable, id)
-		}
-	}
-	if len(state.unreachable) >= minUnreachable && now >= state.avoidUntil {
-		state.avoidUntil = now + dataCentreBackoff
-		c.emit(UpstreamStateChanged{Upstream: u.DataCentre, State: "data centre passed over", Cause: "upstreams out of reach", RequestsSeen: float64(len(state.unreachable))})
-	}
-}
-
 // usable reports whether new requests may be sent to the upstream.
 func (u *upstream) usable(now time.Duration) bool {
 	return !u.Draining && now >= u.avoidUntil
@@ -199,6 +143,7 @@
 		}
 	}
 	c.upstreams = next
+	c.updateDataCentres()
 	c.sortPools()
 }
 
@@ -238,14 +183,42 @@
 	}
 }
 
-// recordOutcome records how an attempt on an upstream ended, here or at another
-// host. The class is empty for a whole answer.
-func (c *Core) recordOutcome(u *upstream, class FailureClass, now time.Duration) {
-	c.recordReachability(u, class != FailureNotConnected, now)
+// recordOutcome records how an attempt of this host, sent at the given time, ended on
+// an upstream. The class is empty for a whole answer.
+func (c *Core) recordOutcome(u *upstream, class FailureClass, sentAt, now time.Duration) {
+	switch class {
+	case FailureNotConnected:
+		c.recordUnreachable(u, now)
+	case FailureNoResponse, FailureCallerLeft:
+	default:
+		c.recordReached(u, sentAt)
+	}
 	if class == "" {
 		u.recordSuccess(now)
 		return
 	}
+	c.recordFailure(u, class, now)
+}
+
+// recordReportedOutcome records how an attempt of another host ended. Whether that
+// host could connect says nothing about the paths of this one: it may be cut off
+// itself. A failure to connect only makes the upstream less preferred.
+func (c *Core) recordReportedOutcome(u *upstream, class FailureClass, now time.Duration) {
+	switch class {
+	case "", FailureNotConnected:
+		u.decay(now)
+		u.requests++
+		if class != "" {
+			u.failures++
+		}
+	default:
+		c.recordFailure(u, class, now)
+	}
+}
+
+// recordFailure records a failure against an upstream, and reports it if the upstream
+// is avoided from now on.
+func (c *Core) recordFailure(u *upstream, class FailureClass, now time.Duration) {
 	if u.recordFailure(class, now) {
 		c.emit(UpstreamStateChanged{
 			Upstream: u.ID, State: "passed over", Cause: string(class),
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -155,6 +155,8 @@
 		if e.Host == "" {
 			c.broadcastLimit(e.Upstream, e.PerSecond)
 		}
+	case balance.ProbeConnection:
+		go c.probe(e)
 	case balance.BroadcastQuarantine:
 		c.broadcastQuarantine(e.Report)
 	case balance.QuarantineChanged:
@@ -166,6 +168,23 @@
 	}
 }
 
+// probe tries a connection to a server and posts the result.
+func (c *control) probe(e balance.ProbeConnection) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
+	defer cancel()
+	err := c.orders.httpClient.Probe(ctx, e.Address)
+	c.metrics.Count("gateway_probes_total", 1, "result", probeResult(err))
+	c.post(balance.ConnectionProbed{Upstream: e.Upstream, Connected: err == nil})
+}
+
+// probeResult returns the result of a probe for metrics.
+func probeResult(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
 // logQuarantine logs a change of a quarantine.
 func (c *control) logQuarantine(e balance.QuarantineChanged) {
 	if e.State == balance.QuarantineReleased {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -101,11 +101,15 @@
 	pools map[string]*http.Transport
 	// unpooled opens a new connection for each call and closes it afterwards.
 	unpooled *http.Transport
+	dialer   Dialer
 }
 
 // New returns a Client without connections.
 func New(config Config) *Client {
-	c := &Client{config: config, pools: make(map[string]*http.Transport)}
+	c := &Client{config: config, pools: make(map[string]*http.Transport), dialer: config.Dialer}
+	if c.dialer == nil {
+		c.dialer = &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.keepAlive(), Control: config.limitSilence}
+	}
 	c.unpooled = c.newTransport()
 	c.unpooled.DisableKeepAlives = true
 	return c
@@ -113,13 +117,9 @@
 
 // newTransport returns a transport whose connections count their writes.
 func (c *Client) newTransport() *http.Transport {
-	dialer := c.config.Dialer
-	if dialer == nil {
-		dialer = &net.Dialer{Timeout: c.config.DialTimeout, KeepAliveConfig: c.config.keepAlive(), Control: c.config.limitSilence}
-	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := c.dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -234,6 +234,16 @@
 	return nil, failure{kind: t.failureKind(), cause: err, call: call}
 }
 
+// Probe opens a connection to an address and closes it at once. It returns an error if
+// that fails or the context ends first.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "probe %s", address)
+	}
+	return errors.Wrapf(conn.Close(), "close the probe of %s", address)
+}
+
 // connTracker records the connections that the transport gave to one request.
 type connTracker struct {
 	mu        sync.Mutex
