Spend the retry budget only on requests that have reached a server

The budget bounds what servers get beyond the first arrival of each request, but every attempt after the first was charged to it, also after a connection that failed.

An attempt is charged only once an earlier one may have reached a server.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -53,14 +53,24 @@
 	return float64(requests) / window.Seconds()
 }
 
+// spent returns the number of retries in the last window.
+func (b *retryBudget) spent(now, window time.Duration) int {
+	retries := 0
+	for _, bucket := range b.buckets {
+		if now-bucket.start <= window {
+			retries += bucket.retries
+		}
+	}
+	return retries
+}
+
 // trySpend counts one retry if the requests and retries of the last window
 // allow it, and reports whether they do.
 func (b *retryBudget) trySpend(now time.Duration, config *Config, hosts int) bool {
-	requests, retries := 0, 0
+	requests, retries := 0, b.spent(now, config.RetryWindow)
 	for _, bucket := range b.buckets {
 		if now-bucket.start <= config.RetryWindow {
 			requests += bucket.requests
-			retries += bucket.retries
 		}
 	}
 	allowed := config.RetryRatio*float64(requests) + spendableSlackShare*float64(config.RetrySlack)/float64(hosts)
--- a/internal/balance/faults_test.go
+++ b/internal/balance/faults_test.go
@@ -162,6 +162,30 @@
 	}
 }
 
+// TestAttemptsThatReachNoServerSpendNoRetries guards against requests that are refused
+// since failed connections have used up the budget for what servers get.
+func TestAttemptsThatReachNoServerSpendNoRetries(t *testing.T) {
+	c := newTestCore(t)
+	const requests = 500
+	for n := range uint64(requests) {
+		now := time.Duration(n) * 10 * time.Millisecond
+		c.Step(now, newArrival(n+1, safeRoute, "desk", 0, now))
+		if firstSend(c.Step(now, AttemptFailed{RequestNumber: n + 1, Attempt: 1, Class: FailureNotConnected})) == nil {
+			t.Fatalf("request %d was not sent again", n+1)
+		}
+		c.Step(now, Finished{RequestNumber: n + 1, Attempt: 2, Success: true})
+		for _, u := range c.upstreams {
+			u.recordSuccess(now)
+			c.recordReached(u, now)
+		}
+	}
+	sent := firstSend(c.Step(10*time.Second, newArrival(1000, safeRoute, "desk", 0, 10*time.Second)))
+	c.Step(10*time.Second, AttemptFailed{RequestNumber: 1000, Attempt: sent.Attempt, Class: FailureUpstreamError})
+	if spent := c.budgetOfService("desk").spent(10*time.Second, c.config.RetryWindow); spent != 1 {
+		t.Errorf("%d retries spent, want the one after an answer", spent)
+	}
+}
+
 // TestReportedWorkOfLostHostExpires reports the work of another host whose end
 // is never reported. The work must not stay in the ledger for ever.
 func TestReportedWorkOfLostHostExpires(t *testing.T) {
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -18,6 +18,9 @@
 	attempt int
 	// possibleRuns counts the attempts that may have executed the request.
 	possibleRuns int
+	// arrived is set once an attempt may have reached an upstream. Until then, further
+	// attempts are no retries of which the upstreams know.
+	arrived bool
 	// tried holds the ids of the upstreams that the request was sent to, or
 	// that were at fault in an attempt.
 	tried map[string]bool
@@ -352,6 +355,7 @@
 	if e.Class.mayHaveRun() {
 		r.possibleRuns++
 	}
+	r.arrived = r.arrived || e.Class != FailureNotConnected
 	r.lastCode = CodeUpstreamFailed
 	r.lastWasUpstreamError = e.Class == FailureUpstreamError
 	c.retry(r, now)
@@ -374,7 +378,7 @@
 		c.endRequest(r, now)
 		return
 	}
-	if !c.budgetOfService(r.Service).trySpend(now, &c.config, c.otherHosts+1) {
+	if r.arrived && !c.budgetOfService(r.Service).trySpend(now, &c.config, c.otherHosts+1) {
 		r.lastCode = CodeRetryBudgetSpent
 		c.endRequest(r, now)
 		return
