Pass requests on to a host that reaches servers

Cause: a host that reaches no server had no way to serve. It refused, and relied on the load balancer, which uses all hosts of a data centre when fewer than half are ready, and on callers, who keep their connections.

Change: such a host passes a request on to another one that reports to reach servers (internal/balance/forward.go, internal/gateway/forward.go): of its own data centre if there is one, the least loaded for its strength, three at most one after the other. The other host decides and answers as for its own callers, but does not pass it on again. It takes such requests on the last of its ports for other hosts and enters that address into the store, so hosts of an earlier release get none. Time left, key, priority and the last event go along, and so does the number of attempts that may have run. Its refusals are marked as such: what it refuses for the servers' sake is refused, what may be due to itself goes to the next host. A lost connection after the request was sent counts as an attempt that may have run. A host that can pass requests on stays ready. A host that stops finishes what it has taken from others.

Why it works: every path in use has been seen to work a moment ago, by the other host's reports of the last 3 s and by its own paths to servers.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -34,6 +34,8 @@
 	paths map[string]*pathState
 	// peers holds what is known about each other host, by its name.
 	peers map[string]*peer
+	// forwarders holds the other hosts to which requests can be passed on.
+	forwarders []*forwarder
 	// otherHosts is the number of other hosts.
 	otherHosts int
 	// reportDelay is the time that a report of another host takes to arrive
@@ -52,6 +54,8 @@
 	// is when a report last listed all work.
 	pendingReport  WorkReport
 	lastFullReport time.Duration
+	// reportedCutOff tells whether the last report said that this host is cut off.
+	reportedCutOff bool
 	// ticking is set during the step of a Tick.
 	ticking bool
 	// effects collects the effects of the current step.
@@ -113,6 +117,7 @@
 		c.receiveReport(e.Host, e.Report, now)
 	case PeersChanged:
 		c.otherHosts, c.reportDelay = e.OtherHosts, e.ReportDelay
+		c.setForwarders(e.Forwarders)
 	case ConnectionProbed:
 		c.handleConnectionProbed(e, now)
 	case QuarantineReported:
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -73,6 +73,11 @@
 	ConnectTimeout    time.Duration
 	FirstPieceTimeout time.Duration
 	PieceTimeout      time.Duration
+	// ToHost is set when the only member is another host, which is to answer the request
+	// through the servers that it reaches. PriorRuns is the number of earlier attempts
+	// that may have executed the request.
+	ToHost    bool
+	PriorRuns int
 	// LeaderLimited is set when the leader's last answer named a limit. Then the
 	// caller of the core reports by LimitObserved also that an answer names none.
 	LeaderLimited bool
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -30,6 +30,10 @@
 	Priority int
 	// Deadline is the time by which the request must have ended.
 	Deadline time.Duration
+	// Forwarded is set when another host passed the request on to this one. PriorRuns is
+	// the number of attempts of that host that may have executed it.
+	Forwarded bool
+	PriorRuns int
 }
 
 // FirstPiece reports that the answer of an attempt began: that the first event
@@ -82,6 +86,9 @@
 	// FailureNoResponse means that the request was sent and nothing came for
 	// too long; it may still be running.
 	FailureNoResponse FailureClass = "silent"
+	// FailureHostRefused means that the host to which the request was passed on
+	// refused it without executing it.
+	FailureHostRefused FailureClass = "host_refused"
 	// FailureCallerLeft means that the caller left, which shows nothing about
 	// the upstream.
 	FailureCallerLeft FailureClass = "abandoned"
@@ -110,6 +117,13 @@
 	// ConnectionBroken is set when the leader closed or reset the connection before
 	// its answer was complete.
 	ConnectionBroken bool
+	// RefusedCode and RetryAfter are what another host told with FailureHostRefused.
+	RefusedCode ErrorCode
+	RetryAfter  time.Duration
+	// Final is set when another host has given up on the request, which it may have
+	// had executed, for the reason FinalCode.
+	Final     bool
+	FinalCode ErrorCode
 }
 
 // CallerGone reports that the caller closed its connection.
@@ -174,6 +188,17 @@
 type PeersChanged struct {
 	OtherHosts  int
 	ReportDelay time.Duration
+	// Forwarders lists the other hosts to which requests can be passed on.
+	Forwarders []Forwarder
+}
+
+// Forwarder is another host to which requests can be passed on.
+type Forwarder struct {
+	Host, DataCentre string
+	// Address is where the host takes such requests.
+	Address string
+	// Weight is the host's strength in relation to others.
+	Weight float64
 }
 
 // Tick reports that time has passed. The caller of the core sends it regularly.
--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -172,6 +172,27 @@
 	return true
 }
 
+// isCutOff reports whether this host is cut off from all data centres with upstreams.
+func (c *Core) isCutOff() bool {
+	for _, dataCentre := range c.dataCentres {
+		if !c.path(dataCentre).cut {
+			return false
+		}
+	}
+	return len(c.dataCentres) > 0
+}
+
+// isCutOffFrom reports whether this host is cut off from the data centre of an
+// upstream of the service.
+func (c *Core) isCutOffFrom(service string) bool {
+	anyCut := false
+	for _, dataCentre := range c.dataCentres {
+		anyCut = anyCut || c.path(dataCentre).cut
+	}
+	pool := c.servicePools[service]
+	return anyCut && pool != nil && slices.ContainsFunc(pool.upstreams, func(u *upstream) bool { return c.path(u.DataCentre).cut })
+}
+
 // Isolated reports whether this host can't reach any upstream at all. It returns
 // false if no upstream is registered.
 func (c *Core) Isolated(now time.Duration) bool {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -12,6 +12,9 @@
 func (c *Core) enqueue(r *request, now time.Duration) {
 	code := c.unservableReason(r, now)
 	if code == "" && c.allUnreachable(r, now) {
+		if c.forward(r, now) {
+			return
+		}
 		code = CodeUpstreamsUnreachable
 	}
 	if code != "" {
@@ -107,6 +110,11 @@
 		case now > c.refusalTime(r):
 			r.lastCode = CodeOverloaded
 			c.endRequest(r, now)
+		case c.isCutOffFrom(r.Service) && c.allUnreachable(r, now):
+			if !c.forward(r, now) {
+				r.lastCode = CodeUpstreamsUnreachable
+				c.endRequest(r, now)
+			}
 		case now < r.earliestRetry:
 			remaining = append(remaining, r)
 		default:
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -24,6 +24,9 @@
 	Decoding []uint64
 	// Ended lists the attempts that have ended since the last report.
 	Ended []ReportedEnd
+	// CutOff is set while the host reaches no upstream. Hosts of an earlier release do
+	// not tell.
+	CutOff bool
 }
 
 // ReportedWork is the part of one request's load that falls on one upstream.
@@ -78,6 +81,8 @@
 type peer struct {
 	bootNumber   uint64
 	lastReceived time.Duration
+	// cutOff is set while the host reaches no upstream.
+	cutOff bool
 }
 
 // receiveReport applies another host's report to the ledgers and to the health
@@ -91,7 +96,7 @@
 	if now-p.lastReceived > maxPeerSilence {
 		c.quarantine.AnnounceSoon(now)
 	}
-	p.lastReceived = now
+	p.lastReceived, p.cutOff = now, report.CutOff
 	if report.Full || report.Boot != p.bootNumber {
 		p.bootNumber = report.Boot
 		c.dropUnreportedWork(host, report.Work, now)
@@ -195,10 +200,12 @@
 		c.pendingReport.Work = c.ownWork(now)
 		c.pendingReport.Decoding = nil
 	}
-	if !c.pendingReport.Full && len(c.pendingReport.Work) == 0 && (!onTick || len(c.pendingReport.Decoding)+len(c.pendingReport.Ended) == 0) {
+	c.pendingReport.CutOff = c.isCutOff()
+	changed := onTick && c.pendingReport.CutOff != c.reportedCutOff
+	if !changed && !c.pendingReport.Full && len(c.pendingReport.Work) == 0 && (!onTick || len(c.pendingReport.Decoding)+len(c.pendingReport.Ended) == 0) {
 		return
 	}
-	c.pendingReport.Boot = c.bootNumber
+	c.pendingReport.Boot, c.reportedCutOff = c.bootNumber, c.pendingReport.CutOff
 	c.emit(BroadcastReport{Report: c.pendingReport})
 	c.pendingReport = WorkReport{}
 }
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -21,6 +21,10 @@
 	// arrived is set once an attempt may have reached an upstream. Until then, further
 	// attempts are no retries of which the upstreams know.
 	arrived bool
+	// forwardedTo is the host that has the current attempt; nil if an upstream has it.
+	// triedHosts holds the names of the hosts that the request was passed on to.
+	forwardedTo *forwarder
+	triedHosts  map[string]bool
 	// tried holds the ids of the upstreams that the request was sent to, or
 	// that were at fault in an attempt.
 	tried map[string]bool
@@ -66,9 +70,14 @@
 
 // handleArrived places a new request, puts it into the queue or refuses it.
 func (c *Core) handleArrived(e Arrived, now time.Duration) {
-	r := &request{Arrived: e, arrivedAt: now, weight: requestWeight(e.PromptTokens), tried: make(map[string]bool), queuedAt: now}
+	r := &request{
+		Arrived: e, arrivedAt: now, weight: requestWeight(e.PromptTokens), tried: make(map[string]bool), queuedAt: now,
+		possibleRuns: e.PriorRuns, arrived: e.PriorRuns > 0,
+	}
 	c.requests[e.RequestNumber] = r
-	c.budgetOfService(e.Service).recordRequest(now, c.config.RetryWindow)
+	if !e.Forwarded {
+		c.budgetOfService(e.Service).recordRequest(now, c.config.RetryWindow)
+	}
 	if code := c.unservableReason(r, now); code != "" {
 		c.refuse(r, code, now)
 		return
@@ -288,11 +297,15 @@
 	if r == nil {
 		return
 	}
-	c.recordOutcome(r.members[0], "", r.sentAt, now)
 	if e.Success {
 		c.recordSoundParts(r, now)
 	}
-	c.endAttempt(r, "", now)
+	if r.forwardedTo != nil {
+		c.endForward(r)
+	} else {
+		c.recordOutcome(r.members[0], "", r.sentAt, now)
+		c.endAttempt(r, "", now)
+	}
 	delete(c.requests, r.RequestNumber)
 }
 
@@ -300,7 +313,7 @@
 // its current one, otherwise nil.
 func (c *Core) requestOfAttempt(number uint64, attempt int) *request {
 	r := c.requests[number]
-	if r == nil || r.attempt != attempt || len(r.members) == 0 {
+	if r == nil || r.attempt != attempt || len(r.members) == 0 && r.forwardedTo == nil {
 		return nil
 	}
 	return r
@@ -335,6 +348,10 @@
 	if r == nil {
 		return
 	}
+	if r.forwardedTo != nil {
+		c.handleForwardFailed(r, e, now)
+		return
+	}
 	failedMember := r.members[0]
 	for _, u := range r.members {
 		if u.Address == e.FailedAddress {
@@ -410,6 +427,7 @@
 	if len(r.members) > 0 {
 		c.endAttempt(r, FailureCallerLeft, now)
 	}
+	c.endForward(r)
 	delete(c.requests, r.RequestNumber)
 	c.removeFromQueue(r)
 }
--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -22,6 +22,7 @@
 	callerPort  = 8227
 	readyPort   = 8220
 	peerPort    = 7340
+	forwardPort = 7341
 	metricsPort = 9464
 )
 
@@ -85,7 +86,7 @@
 	h.settingsFile = filepath.Join(hs.config.Directory, h.name+".toml")
 	text := standin.HostSettings{
 		Host: h.name, DataCentre: dataCentreName(index), IP: h.ip, CallerAddress: h.address(callerPort), ReadyAddress: h.address(readyPort),
-		StoreAddress: h.storeRelay.Address(), PeerPort: peerPort, GracePeriod: gracePeriod,
+		StoreAddress: h.storeRelay.Address(), PeerPort: peerPort, ForwardPort: forwardPort, GracePeriod: gracePeriod,
 	}.TOML()
 	return h, errors.Wrap(os.WriteFile(h.settingsFile, []byte(text), 0o600), "write a host's settings")
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,8 +57,12 @@
 	// connectionBroken is true if the upstream closed or reset the connection before
 	// its answer was complete.
 	connectionBroken bool
-	status           int
-	err              error
+	// refusedCode and retryAfter are what another host told that refused the request,
+	// finalCode the reason for which it gave up on a request that may have run.
+	refusedCode, finalCode balance.ErrorCode
+	retryAfter             time.Duration
+	status                 int
+	err                    error
 }
 
 // run sends the request to the upstream and forwards its answer to the caller.
@@ -73,12 +77,16 @@
 	})
 	a.restartWatchdog(a.send.FirstPieceTimeout)
 	defer a.stopWatchdog()
-	response, err := a.httpClient.Do(ctx, a.buildCall())
+	build, handle := a.buildCall, a.handleResponse
+	if a.send.ToHost {
+		build, handle = a.buildForward, a.handleForwardResponse
+	}
+	response, err := a.httpClient.Do(ctx, build())
 	if err != nil {
 		return a.classifyFailedCall(err)
 	}
 	defer response.Body.Close()
-	return a.handleResponse(response)
+	return handle(response)
 }
 
 // buildCall returns the request to the upstream. The first member of the
@@ -95,10 +103,14 @@
 	if leader := a.send.Members[0]; leader.ReservationID != "" {
 		upstreamRequest.Helpers = append([]platform.Helper{{Address: leader.Address, ReservationID: leader.ReservationID}}, upstreamRequest.Helpers...)
 	}
-	call := httpcall.Call{
+	return a.withBody(httpcall.Call{
 		Method: a.r.Method, Address: a.send.Members[0].Address, Host: a.r.Host, Path: a.r.RequestURI,
 		Header: upstreamRequest.Header(a.r.Header), NewConnection: true,
-	}
+	})
+}
+
+// withBody returns a call with the body of the caller's request.
+func (a *attempt) withBody(call httpcall.Call) httpcall.Call {
 	if len(a.inbound.body) > 0 || a.r.ContentLength != 0 {
 		call.Body = bytes.NewReader(a.inbound.body)
 		call.BodyLength = int64(len(a.inbound.body))
@@ -174,10 +186,20 @@
 		return outcome{class: balance.FailureServerReplaced, status: head.Status}
 	case head.NotExecuted:
 		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper}
-	case head.Status < http.StatusMultipleChoices && !platform.HasServerSignature(response.Header):
-		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errUnsigned}
 	case head.Status >= http.StatusInternalServerError:
 		return a.bufferFailure(response, head)
+	default:
+		return a.forwardAnswer(response, head)
+	}
+}
+
+// forwardAnswer forwards a response to the caller if it is an answer to the request.
+func (a *attempt) forwardAnswer(response *http.Response, head platform.UpstreamResponse) outcome {
+	switch {
+	case !head.MatchesRequest:
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errOtherRequest}
+	case head.Status < http.StatusMultipleChoices && !platform.HasServerSignature(response.Header):
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errUnsigned}
 	case a.inbound.route.Kind == route.Stream && head.Status < http.StatusMultipleChoices:
 		return a.forwardStream(response)
 	default:
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -40,7 +40,8 @@
 	mu             sync.Mutex
 	effectChannels map[uint64]chan balance.Effect
 
-	// isolated is true while this host reaches no upstream.
+	// isolated is true while this host reaches neither an upstream nor another host that
+	// does.
 	isolated atomic.Bool
 
 	// orders sends memory reservations to servers, broadcastReport sends a work
@@ -123,7 +124,8 @@
 // updateGauges updates the gauges of waiting and running requests, and logs
 // when this host becomes isolated and when it no longer is.
 func (c *control) updateGauges() {
-	isolated := c.core.Isolated(c.clock.Now())
+	now := c.clock.Now()
+	isolated := c.core.Isolated(now) && !c.core.CanForward(now)
 	if c.isolated.Swap(isolated) != isolated {
 		logevent.HostIsolated.Emit(c.logger, log.Fields{"isolated": isolated})
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,7 +110,8 @@
 	x.metrics.Count("gateway_attempts_failed_total", 1, "class", string(outcome.class))
 	x.control.post(balance.AttemptFailed{
 		RequestNumber: x.requestNumber, Attempt: send.Attempt, Class: outcome.class, FailedAddress: outcome.failedAddress, PartlyDelivered: x.responseStarted,
-		ConnectionBroken: outcome.connectionBroken,
+		ConnectionBroken: outcome.connectionBroken, RefusedCode: outcome.refusedCode, RetryAfter: outcome.retryAfter,
+		Final: outcome.finalCode != "", FinalCode: outcome.finalCode,
 	})
 	return false
 }
@@ -171,6 +172,9 @@
 		status = http.StatusGatewayTimeout
 	}
 	platform.SetLocalResponseHeader(x.w.Header(), x.inbound.request.ID, 0)
+	if x.inbound.forwarded {
+		x.w.Header().Set(headerFailed, string(code))
+	}
 	x.w.WriteHeader(status)
 }
 
@@ -178,6 +182,14 @@
 // core's choice.
 func (x *exchange) logSent(send balance.Send) {
 	x.upstream = send.Members[0].Upstream
+	if send.ToHost {
+		logevent.RoutedForwarded.Emit(x.logger, log.Fields{
+			"request": x.inbound.request.ID, "route": x.inbound.route.Name, "attempt": send.Attempt, "host": x.upstream,
+			"prior_runs": send.PriorRuns, "held_ms": (x.clock.Now() - x.inbound.arrivedAt).Milliseconds(),
+		})
+		x.metrics.Count("gateway_forwarded_total", 1, "direction", "out")
+		return
+	}
 	logevent.RoutedSent.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "route": x.inbound.route.Name, "attempt": send.Attempt, "upstream": x.upstream,
 		"parts": strings.Join(x.inbound.request.SharedParts, ","), "helpers": len(send.Members) - 1, "reserved": send.Members[0].ReservedTokens, "prompt": x.inbound.request.PromptTokens,
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -90,6 +90,17 @@
 	return l.Addr().String()
 }
 
+// freePort returns the port of a free loopback address.
+func freePort(t *testing.T) int {
+	t.Helper()
+	_, text, _ := net.SplitHostPort(freeAddress(t))
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return port
+}
+
 // startHost starts a gateway and waits until it is ready.
 func startHost(t *testing.T, name string, store *standin.Store) *testHost {
 	t.Helper()
@@ -100,15 +111,11 @@
 // given dialer, and waits until it is ready.
 func startHostWithDialer(t *testing.T, name string, store *standin.Store, dialer httpcall.Dialer) *testHost {
 	t.Helper()
-	callers, ready, peers := freeAddress(t), freeAddress(t), freeAddress(t)
-	_, peerPort, _ := net.SplitHostPort(peers)
-	port, err := strconv.Atoi(peerPort)
-	if err != nil {
-		t.Fatal(err)
-	}
+	callers, ready := freeAddress(t), freeAddress(t)
+	peerPort, forwardPort := freePort(t), freePort(t)
 	text := standin.HostSettings{
 		Host: name, DataCentre: "a", IP: "127.0.0.1", CallerAddress: callers, ReadyAddress: ready,
-		StoreAddress: store.Address(), PeerPort: port, GracePeriod: 8 * time.Second,
+		StoreAddress: store.Address(), PeerPort: peerPort, ForwardPort: forwardPort, GracePeriod: 8 * time.Second,
 	}.TOML()
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -57,6 +57,10 @@
 	body          []byte
 	arrivedAt     time.Duration
 	deadline      time.Duration
+	// forwarded is true if another host passed the request on to this one, after
+	// priorRuns attempts that may have executed it.
+	forwarded bool
+	priorRuns int
 }
 
 // refusal is a response that this host sends itself, without asking an
@@ -75,8 +79,14 @@
 // ServeHTTP answers one request. A host that is stopping also closes the
 // connection after it.
 func (g *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serve(w, r, func(*inboundRequest) {})
+}
+
+// serve answers one request. The function prepare completes what is known about it
+// before anything is decided.
+func (g *ingress) serve(w http.ResponseWriter, r *http.Request, prepare func(*inboundRequest)) {
 	arrived := g.clock.Now()
-	inbound, reason := g.admit(r, arrived)
+	inbound, reason := g.admit(r, arrived, prepare)
 	if g.drain.stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -91,9 +101,13 @@
 // admit checks a request and finds its route. It returns a refusal if the
 // request can't be accepted. The inboundRequest is never nil, and holds what
 // was found out about the request until then.
-func (g *ingress) admit(r *http.Request, arrived time.Duration) (*inboundRequest, *refusal) {
+func (g *ingress) admit(r *http.Request, arrived time.Duration, prepare func(*inboundRequest)) (*inboundRequest, *refusal) {
 	request, findings := platform.DecodeCallerRequest(r)
 	inbound := &inboundRequest{request: request, arrivedAt: arrived}
+	prepare(inbound)
+	if inbound.forwarded && g.drain.stopping() {
+		return inbound, &refusal{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetryAfter}
+	}
 	if len(findings) > 0 {
 		return inbound, badRequest(findings)
 	}
@@ -217,6 +231,9 @@
 	logevent.RoutedRefused.Emit(g.logger, fields)
 	g.metrics.Count("gateway_refused_total", 1, "code", reason.code)
 	platform.SetLocalResponseHeader(w.Header(), inbound.request.ID, reason.retryAfter)
+	if inbound.forwarded {
+		w.Header().Set(headerRefused, reason.code)
+	}
 	w.WriteHeader(reason.status)
 	if _, err := io.WriteString(w, `{"code":"`+reason.code+`"}`+"\n"); err != nil {
 		logevent.CallerLeft.Emit(g.logger, log.Fields{"request": inbound.request.ID, "error": err.Error()})
@@ -236,6 +253,7 @@
 		RequestNumber: x.requestNumber, ID: request.ID, Route: x.inbound.route, Service: x.inbound.route.ChooseService(request.ID),
 		SharedParts: request.SharedParts, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
 		Priority: x.inbound.priority, Deadline: x.inbound.deadline,
+		Forwarded: x.inbound.forwarded, PriorRuns: x.inbound.priorRuns,
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,6 +29,9 @@
 	DataCentre string `json:"data_centre"`
 	// ProcessorShare is the part of a processor that the host may use.
 	ProcessorShare float64 `json:"power"`
+	// Forward is the address at which the host takes requests that other hosts pass on;
+	// hosts of an earlier release name none.
+	Forward string `json:"forward,omitempty"`
 	// Boot distinguishes this run of the host's process from other runs.
 	Boot uint64 `json:"boot"`
 }
@@ -93,15 +96,16 @@
 
 // updateMembers applies changed registrations of hosts.
 func (p *peers) updateMembers(objects []platform.Object) {
-	others := p.applyRegistrations(objects)
+	forwarders := p.applyRegistrations(objects)
+	others := p.otherHosts()
 	// The lock is not held here, because the control thread may be waiting for
 	// it to broadcast a report.
-	p.post(balance.PeersChanged{OtherHosts: others, ReportDelay: reportDelay(others)})
+	p.post(balance.PeersChanged{OtherHosts: others, ReportDelay: reportDelay(others), Forwarders: forwarders})
 }
 
 // applyRegistrations adds, replaces and removes members by their registrations,
-// and returns the number of other hosts.
-func (p *peers) applyRegistrations(objects []platform.Object) int {
+// and returns the hosts to which requests can be passed on.
+func (p *peers) applyRegistrations(objects []platform.Object) []balance.Forwarder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range objects {
@@ -119,7 +123,7 @@
 		}
 		p.members[o.Name] = member{
 			name: o.Name, address: spec.Address, dataCentre: spec.DataCentre, processorShare: spec.ProcessorShare,
-			revision: o.Revision, lastReceived: max(p.clock.Now(), p.members[o.Name].lastReceived),
+			forwardAddress: spec.Forward, revision: o.Revision, lastReceived: max(p.clock.Now(), p.members[o.Name].lastReceived),
 		}
 	}
 	all := []member{p.self}
@@ -128,6 +132,13 @@
 	}
 	p.relays.setHosts(all)
 	p.expectUpdates()
+	return p.forwarders()
+}
+
+// otherHosts returns the number of other hosts.
+func (p *peers) otherHosts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return len(p.members)
 }
 
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -76,6 +76,8 @@
 	configurationWatcher, serversWatcher, hostsWatcher *watcher
 
 	callerServer, readyServer *http.Server
+	// forwardServer takes the requests that other hosts pass on.
+	forwardServer *http.Server
 	// drained is closed by markDrained when no request is in flight any more,
 	// or when the process no longer waits for those that are.
 	drained     chan struct{}
@@ -126,6 +128,9 @@
 	p.callerServer = &http.Server{
 		Handler: p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	p.forwardServer = &http.Server{
+		Handler: http.HandlerFunc(p.ingress.serveForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	p.readyServer = &http.Server{Handler: p.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	return p, nil
 }
@@ -190,8 +195,7 @@
 }
 
 // isReady reports whether the load balancer should send new connections to this
-// host. A host that reaches no upstream is not ready, since other hosts may
-// reach the upstreams that this one does not.
+// host. A host that reaches no upstream, and no other host that does, is not ready.
 func (p *Process) isReady() bool {
 	return p.storeView.loaded() && !p.drain.stopping() && !p.control.isolated.Load()
 }
@@ -205,10 +209,14 @@
 		serve   func(net.Listener) error
 		close   func()
 	}{
-		{platformSettings.CallerAddress, p.serveCallers, func() { p.logCloseError(p.callerServer.Close()); p.markDrained() }},
+		{platformSettings.CallerAddress, p.serveUntilDrained(p.callerServer), func() { p.logCloseError(p.callerServer.Close()); p.markDrained() }},
 		{platformSettings.ReadyAddress, serveHTTP(p.readyServer), func() { p.logCloseError(p.readyServer.Close()) }},
 		{p.peerAddress(), p.peers.transport.Serve, p.peers.transport.Close},
+		{p.forwardAddress(), p.serveUntilDrained(p.forwardServer), func() { p.logCloseError(p.forwardServer.Close()) }},
 	} {
+		if endpoint.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", endpoint.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", endpoint.address)
@@ -231,15 +239,17 @@
 	return nil
 }
 
-// serveCallers answers callers. After the server was shut down, it waits until
-// the requests in flight are finished before it returns, because the whole
-// process ends when one of its actors returns.
-func (p *Process) serveCallers(l net.Listener) error {
-	err := serveHTTP(p.callerServer)(l)
-	if err == nil {
-		<-p.drained
+// serveUntilDrained returns a function that serves HTTP on a listener. After the
+// server was shut down, it waits until the requests in flight are finished before it
+// returns, because the whole process ends when one of its actors returns.
+func (p *Process) serveUntilDrained(s *http.Server) func(net.Listener) error {
+	return func(l net.Listener) error {
+		err := serveHTTP(s)(l)
+		if err == nil {
+			<-p.drained
+		}
+		return err
 	}
-	return err
 }
 
 // serveHTTP returns a function that serves HTTP on a listener until the server
@@ -369,9 +379,15 @@
 	time.Sleep(min(balancerNoticeTime, deadline-p.clock.Now()))
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, deadline-p.clock.Now()))
 	defer cancel()
-	if err := p.callerServer.Shutdown(ctx); err != nil {
-		logevent.DrainLimitReached.Emit(p.logger, log.Fields{"in_flight": p.control.inFlight(), "error": err.Error()})
+	var shutdowns sync.WaitGroup
+	for _, s := range []*http.Server{p.callerServer, p.forwardServer} {
+		shutdowns.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				logevent.DrainLimitReached.Emit(p.logger, log.Fields{"in_flight": p.control.inFlight(), "error": err.Error()})
+			}
+		})
 	}
+	shutdowns.Wait()
 	return nil
 }
 
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -50,7 +50,8 @@
 	platformSettings := p.settings.platformSettings
 	for {
 		err := p.store.Put(ctx, hostsKind, platformSettings.Host, hostSpec{
-			Address: p.peerAddress(), DataCentre: platformSettings.DataCentre, ProcessorShare: platformSettings.ProcessorShare, Boot: p.boot,
+			Address: p.peerAddress(), DataCentre: platformSettings.DataCentre, ProcessorShare: platformSettings.ProcessorShare,
+			Forward: p.forwardAddress(), Boot: p.boot,
 		})
 		if err == nil {
 			p.peers.registered.Store(true)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -72,6 +72,9 @@
 	// processorShare is the part of a processor that the host may use; the
 	// hosts with the largest shares become relays.
 	processorShare float64
+	// forwardAddress is where the host takes requests that others pass on; empty if it
+	// takes none.
+	forwardAddress string
 	// revision is the revision of the host's entry in the store, and
 	// lastReceived is when a message last showed that the host is alive.
 	revision     platform.Revision
