--- a/internal/balance/forward_test.go
+++ b/internal/balance/forward_test.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -164,3 +166,44 @@
 	}
 	g.Expect(reported).To(Equal([]bool{true}))
 }
+
+// TestFirstTriesAreServedWhileHostsReachNoServer guards against hosts that serve less
+// than others while they are cut off from all servers, up to most hosts of a fleet.
+func TestFirstTriesAreServedWhileHostsReachNoServer(t *testing.T) {
+	const minCutOffShare = 2.0 / 3
+	for _, fleet := range []struct{ hosts, servers, cutOff int }{{8, 18, 3}, {8, 18, 5}, {8, 18, 7}, {24, 50, 12}} {
+		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
+			g := NewWithT(t)
+			sim := newSimulation(PolicyPredict, fleet.hosts, fleet.servers, 1)
+			random := rand.New(rand.NewPCG(1, 7))
+			sim.promptTraffic(random, 2.5*float64(fleet.servers), 0, 0, 10*time.Second)
+			sim.schedule(3*time.Second, func() {
+				for host := range fleet.cutOff {
+					sim.partitioned[host] = true
+				}
+			})
+			sim.runUntil(14 * time.Second)
+			var sent, served, inTime [2]float64
+			for _, r := range sim.results {
+				if r.sentAt < 6*time.Second {
+					continue
+				}
+				group := 0
+				if r.host >= fleet.cutOff {
+					group = 1
+				}
+				sent[group]++
+				if r.delivered {
+					served[group]++
+				}
+				if r.inTime {
+					inTime[group]++
+				}
+			}
+			t.Logf("served %.3f, in time %.3f at the hosts that are cut off; %.3f and %.3f at the others",
+				served[0]/sent[0], inTime[0]/sent[0], served[1]/sent[1], inTime[1]/sent[1])
+			g.Expect(served[0] / sent[0]).To(BeNumerically(">=", minCutOffShare*served[1]/sent[1]))
+			g.Expect(inTime[0] / sent[0]).To(BeNumerically(">=", minCutOffShare*inTime[1]/sent[1]))
+		})
+	}
+}
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -69,6 +69,8 @@
 	leaderLimited bool
 	// retried is set when the caller has been refused before.
 	retried bool
+	// origin is the request of the host that passed this one on; nil if a caller sent it.
+	origin *job
 	// parts are the shared parts of the prompt.
 	parts []string
 	// sentAt is when the caller sent the request. firstEventAt, lastEventAt and
@@ -142,6 +144,8 @@
 	// nothing from the others and are not heard by them.
 	healed bool
 	cutOff map[int]bool
+	// partitioned holds the hosts that reach no server.
+	partitioned map[int]bool
 	// quarantined holds when hosts quarantined a part, by part.
 	quarantined map[string][]time.Duration
 }
@@ -151,6 +155,7 @@
 	route        string
 	promptTokens int
 	parts        []string
+	host         int
 	sentAt       time.Duration
 	delivered    bool
 	refused      bool
@@ -162,7 +167,7 @@
 	sim := &simulation{
 		engine: testEngine(), servers: make(map[string]*simulatedServer), jobs: make(map[string]*job),
 		reportDelay: 4 * time.Millisecond, reservedTokens: make(map[string]int),
-		quarantined: make(map[string][]time.Duration), cutOff: make(map[int]bool),
+		quarantined: make(map[string][]time.Duration), cutOff: make(map[int]bool), partitioned: make(map[int]bool),
 	}
 	var list []Upstream
 	for i := range servers {
@@ -178,7 +183,13 @@
 		sim.cores = append(sim.cores, core)
 		sim.step(i, ServicesChanged{Services: []*route.Service{{Name: "llm", Engine: sim.engine}}})
 		sim.step(i, UpstreamsChanged{Upstreams: list})
-		sim.step(i, PeersChanged{OtherHosts: hosts - 1, ReportDelay: sim.reportDelay})
+		var others []Forwarder
+		for other := range hosts {
+			if other != i {
+				others = append(others, Forwarder{Host: fmt.Sprint("h", other), DataCentre: "a", Address: fmt.Sprint(other), Weight: 1})
+			}
+		}
+		sim.step(i, PeersChanged{OtherHosts: hosts - 1, ReportDelay: sim.reportDelay, Forwarders: others})
 	}
 	for i := range hosts {
 		sim.tick(i)
@@ -220,16 +231,29 @@
 	switch e := effect.(type) {
 	case Send:
 		sim.send(host, e)
+	case ProbeConnection:
+		sim.schedule(connectDelay, func() {
+			reached := !sim.partitioned[host] && sim.now >= sim.servers[e.Upstream].downUntil
+			sim.step(host, ConnectionProbed{Upstream: e.Upstream, Connected: reached})
+		})
 	case Refuse:
 		j := sim.jobs[jobKey(host, e.RequestNumber)]
+		if j.origin != nil {
+			sim.failOrigin(j, AttemptFailed{Class: FailureHostRefused, RefusedCode: e.Code, RetryAfter: e.RetryAfter})
+			return
+		}
 		if e.RetryAfter > 0 && !j.retried {
 			sim.schedule(e.RetryAfter, func() { sim.retryRefused(j) })
 			return
 		}
-		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt, refused: true})
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt, refused: true})
 	case Fail:
 		j := sim.jobs[jobKey(host, e.RequestNumber)]
-		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt})
+		if j.origin != nil {
+			sim.failOrigin(j, AttemptFailed{Class: FailureAnswerLost, Final: true, FinalCode: e.Code})
+			return
+		}
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt})
 	case BroadcastQuarantine:
 		sim.broadcast(host, QuarantineReported(e))
 	case QuarantineChanged:
@@ -307,13 +331,23 @@
 		return
 	}
 	j := sim.jobs[jobKey(host, number)]
-	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt})
+	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt})
 	sim.step(host, CallerGone{RequestNumber: number})
 }
 
 // send gives a request's parts to the servers after the time of a message.
 func (sim *simulation) send(host int, s Send) {
 	original := sim.jobs[jobKey(host, s.RequestNumber)]
+	if s.ToHost {
+		sim.sendToHost(original, s)
+		return
+	}
+	if sim.partitioned[host] {
+		sim.schedule(connectDelay, func() {
+			sim.step(host, AttemptFailed{RequestNumber: s.RequestNumber, Attempt: s.Attempt, Class: FailureNotConnected})
+		})
+		return
+	}
 	parts := len(s.Members)
 	for i, m := range s.Members {
 		j := &job{
@@ -451,6 +485,9 @@
 				sim.step(j.host, LimitObserved{Upstream: s.id, PerSecond: s.limit})
 			}
 			sim.step(j.host, FirstPiece{RequestNumber: j.number, Attempt: j.attempt})
+			if origin := sim.originOf(j); origin != nil {
+				sim.step(origin.host, FirstPiece{RequestNumber: origin.number, Attempt: origin.attempt})
+			}
 		}
 		j.longestPause = max(j.longestPause, sim.now-j.lastEventAt)
 		j.lastEventAt = sim.now
@@ -462,13 +499,52 @@
 		if j.eventsLeft <= 0 {
 			s.running = without(s.running, j)
 			inTime := j.firstEventAt-j.sentAt <= j.route.TargetLatency && j.longestPause <= j.route.TargetPieceGap
-			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, sentAt: j.sentAt, delivered: true, inTime: inTime})
+			host := j.host
+			if origin := sim.originOf(j); origin != nil {
+				host = origin.host
+			}
+			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: host, sentAt: j.sentAt, delivered: true, inTime: inTime})
 			sim.step(j.host, Finished{RequestNumber: j.number, Attempt: j.attempt, Success: true})
+			if origin := sim.originOf(j); origin != nil {
+				sim.step(origin.host, Finished{RequestNumber: origin.number, Attempt: origin.attempt, Success: true})
+			}
 		}
 	}
 	sim.startPass(s)
 }
 
+// connectDelay is the time that a connection takes, or takes to be refused.
+const connectDelay = 10 * time.Millisecond
+
+// sendToHost gives a request that a host passes on to the other host.
+func (sim *simulation) sendToHost(origin *job, s Send) {
+	var target int
+	if _, err := fmt.Sscanf(s.Members[0].Upstream, "h%d", &target); err != nil {
+		panic(err)
+	}
+	sim.schedule(connectDelay, func() {
+		sim.lastNumber++
+		passedOn := *origin
+		passedOn.host, passedOn.number, passedOn.origin = target, sim.lastNumber, origin
+		origin.attempt = s.Attempt
+		sim.jobs[jobKey(target, passedOn.number)] = &passedOn
+		sim.step(target, Arrived{
+			RequestNumber: passedOn.number, ID: fmt.Sprint(passedOn.number), Route: origin.route, Service: "llm", SharedParts: origin.parts,
+			PromptTokens: origin.promptTokens, AnswerTokens: origin.answerTokens, Deadline: s.Deadline, Forwarded: true, PriorRuns: s.PriorRuns,
+		})
+	})
+}
+
+// originOf returns the request of the host that passed on the one that a server's job
+// belongs to; nil if a caller sent it.
+func (sim *simulation) originOf(j *job) *job { return sim.jobs[jobKey(j.host, j.number)].origin }
+
+// failOrigin tells the host that passed a request on how the other host ended it.
+func (sim *simulation) failOrigin(j *job, e AttemptFailed) {
+	e.RequestNumber, e.Attempt = j.origin.number, j.origin.attempt
+	sim.schedule(connectDelay, func() { sim.step(j.origin.host, e) })
+}
+
 // crash ends a server with all its requests for a while.
 func (sim *simulation) crash(s *simulatedServer, downtime time.Duration) {
 	if sim.now < s.downUntil {
