Bear a second of silence before the first event of a stream

Streams at a sound server that was silent for a second were all sent again at once: the wait for the first event was 1.0 s where callers bear 2 s. A server may fall silent for about a second and go on; the wait is 1.3 s at least now.

TestServerThatIsSilentBeforeItsAnswerIsLeftToAnswer, 1.1 s of silence: sent again before, left to answer after. Calls that may be repeated are still sent again after their objective, within the retry budget.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -134,6 +134,9 @@
 	// firstPieceTimeoutShare is the shortest time for which the first event of a
 	// stream is waited for, as a share of the delay that its callers tolerate.
 	firstPieceTimeoutShare = 0.5
+	// minFirstPieceTimeout is the shortest time for which the first event of a stream is
+	// waited for: a sound server may be silent for about a second.
+	minFirstPieceTimeout = 1300 * time.Millisecond
 	// minPieceTimeout is the shortest pause within a stream after which another
 	// upstream is tried. Callers leave after 2 s, and continuing on another
 	// upstream takes about 0.2 s.
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -219,7 +219,7 @@
 	if r.Kind == route.Safe {
 		return safeAnswerFactor * r.TargetLatency
 	}
-	return max(firstPieceFactor*predicted+firstPieceSlack, time.Duration(firstPieceTimeoutShare*float64(toleratedDelay(r))))
+	return max(minFirstPieceTimeout, firstPieceFactor*predicted+firstPieceSlack, time.Duration(firstPieceTimeoutShare*float64(toleratedDelay(r))))
 }
 
 // pieceTimeout returns the pause after which a stream is continued on another
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -102,3 +102,18 @@
 	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
 	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
 }
+
+// TestServerThatIsSilentBeforeItsAnswerIsLeftToAnswer guards against requests that are
+// sent again in a rush since a sound server was silent for a second.
+func TestServerThatIsSilentBeforeItsAnswerIsLeftToAnswer(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, _ := setUp(t)
+	for _, s := range engines {
+		s.EventInterval, s.EventCount = 1100*time.Millisecond, 2
+	}
+	answer := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(answer.readError).NotTo(HaveOccurred())
+	g.Expect(answer.body).To(Equal(wholeStream("r-1", 2)))
+	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
+	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
+}
