Crash servers in the soak, under prompts and without cause

The soak had no crash of a server at all, and no prompt that causes one. Servers crash and come back; callers send a part of prompts for up to 6 s under which each server crashes.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -24,6 +24,12 @@
 	// rotatingKeyShare is the share of requests with a key that is valid only in
 	// some versions of the configuration.
 	rotatingKeyShare = 0.25
+	// crashingPromptShare is the share of streams with crashingPart while servers are to
+	// crash under prompts.
+	crashingPromptShare = 0.2
+	// sharedPart is a part that all prompts have, crashingPart one under which servers
+	// crash.
+	sharedPart, crashingPart = "5c", "bad"
 	// longPromptShare is the share of streams whose prompt needs the memory of
 	// several servers.
 	longPromptShare = 0.03
@@ -99,6 +105,7 @@
 		ID: fmt.Sprintf("%s-%d", c.name, c.sentCount), Kind: kind, Host: c.host.name, Boot: boot,
 		Key: c.drawKey(), Limit: callerTimeLimits[kind], Sent: c.harness.elapsed(),
 	}
+	call.CrashesServers = kind == Stream && c.harness.crashingPrompts.Load() > 0 && c.random.Float64() < crashingPromptShare
 	// The caller stops waiting well after the time at which the guarantee of the
 	// time limit is violated.
 	ctx, cancel := context.WithTimeout(ctx, call.Limit+4*timeLimitTolerance)
@@ -136,11 +143,22 @@
 		if c.random.Float64() < longPromptShare {
 			prompt = longPromptTokens
 		}
+		r.Header.Set(standin.HeaderPromptParts, c.promptParts(call))
 		r.Header.Set(standin.HeaderUsage, fmt.Sprintf("%d,%d", prompt, answerTokens))
 	}
 	return r
 }
 
+// promptParts returns the parts of the prompt of a call: one that all prompts share, one
+// of the caller, one under which servers crash if the call is to have it, and its own.
+func (c *caller) promptParts(call *Call) string {
+	parts := fmt.Sprintf("%s:40,%s:30", sharedPart, c.name)
+	if call.CrashesServers {
+		parts += fmt.Sprintf(",%s:20", crashingPart)
+	}
+	return parts + fmt.Sprintf(",%s:900", call.ID)
+}
+
 // drawKey returns the permanent key, or a key of the newest version or of one of
 // the two versions before it.
 func (c *caller) drawKey() string {
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -36,6 +36,7 @@
 	{"planned work cuts no request off", checkNotCutOff},
 	{"service comes back", checkRecovered},
 	{"memory is given back", checkMemory},
+	{"prompts that crash servers are kept away from the others", checkCrashingPrompts},
 	{"processes do not end by themselves", checkExits},
 }
 
@@ -326,6 +327,31 @@
 	}
 }
 
+// checkCrashingPrompts checks that few prompts under which servers crash reach servers
+// from stable hosts once the time to react to the first crashes has passed.
+func checkCrashingPrompts(h *History, report func(string, ...any)) {
+	if len(h.Crashes) < freeCrashes {
+		return
+	}
+	inForce := h.Crashes[freeCrashes-1] + stableWindow
+	hosts := make(map[string]string)
+	for _, c := range h.Calls {
+		if c.CrashesServers {
+			hosts[c.ID] = c.Host
+		}
+	}
+	var later []string
+	for _, r := range h.Runs {
+		host, crashes := hosts[r.Request]
+		if crashes && r.At > inForce && !h.hasFault(r.At-stableWindow, r.At, host) {
+			later = append(later, fmt.Sprintf("%s of %s on %s at %v", r.Request, host, r.Server, r.At))
+		}
+	}
+	if len(later) > maxLaterCrashingPrompts {
+		report("%d reached servers later than %v after crash %d: %s", len(later), stableWindow, freeCrashes, strings.Join(later, ", "))
+	}
+}
+
 // checkExits checks that no process ended unless the soak test ended it.
 func checkExits(h *History, report func(string, ...any)) {
 	for _, e := range h.Exits {
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -114,6 +114,14 @@
 		}
 	}},
 	{"memory is given back", "a reservation that is never released", func(h *History) { h.Held = append(h.Held, HeldMemory{Server: "s", Tickets: 1}) }},
+	{"prompts that crash servers are kept away from the others", "four such prompts at servers long after the fifth crash", func(h *History) {
+		for i := range freeCrashes {
+			h.Crashes = append(h.Crashes, time.Duration(i)*time.Second)
+		}
+		for _, id := range []string{"stream-30", "stream-31", "stream-32", "stream-33"} {
+			h.findCall(id).CrashesServers = true
+		}
+	}},
 	{"processes do not end by themselves", "a crash", func(h *History) { h.Exits = append(h.Exits, Exit{Host: "h", Text: "exit status 2"}) }},
 }
 
--- a/internal/bench/soak/config.go
+++ b/internal/bench/soak/config.go
@@ -83,6 +83,10 @@
 	// maxMemoryReleaseTime is how long a server may keep memory reserved without
 	// a request.
 	maxMemoryReleaseTime = 4 * time.Second
+	// freeCrashes is the number of crashes under prompts after which, and after a stable
+	// window, at most maxLaterCrashingPrompts such prompts may reach servers.
+	freeCrashes             = 5
+	maxLaterCrashingPrompts = 3
 	// timeLimitTolerance is how much longer than its time limit a request may
 	// take.
 	timeLimitTolerance = 500 * time.Millisecond
--- a/internal/bench/soak/harness.go
+++ b/internal/bench/soak/harness.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +37,8 @@
 	processes *fleet.Processes
 	hosts     []*host
 	servers   []*server
+	// crashingPrompts is above 0 while callers send prompts under which servers crash.
+	crashingPrompts atomic.Int64
 
 	mu      sync.Mutex
 	history History
@@ -187,6 +191,11 @@
 	h := hs.history
 	for _, s := range hs.servers {
 		for _, standIn := range s.allStandIns() {
+			for _, crash := range standIn.Crashes() {
+				if crash.Part != "" {
+					h.Crashes = append(h.Crashes, crash.At.Sub(hs.startedAt))
+				}
+			}
 			h.Held = append(h.Held, HeldMemory{Server: standIn.ID, Tickets: standIn.Reservations()})
 			for _, r := range standIn.ReceivedRequests() {
 				if !r.Executed {
@@ -196,6 +205,7 @@
 			}
 		}
 	}
+	slices.Sort(h.Crashes)
 	sort.SliceStable(h.Runs, func(i, j int) bool {
 		a, b := h.Runs[i], h.Runs[j]
 		return a.Request < b.Request || a.Request == b.Request && a.At < b.At
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -40,6 +40,8 @@
 	Sent, Ended time.Duration
 	// Limit is the request's time limit.
 	Limit time.Duration
+	// CrashesServers is true if each server crashes that begins to answer the request.
+	CrashesServers bool
 	// Status is the HTTP status, or 0 if no answer began.
 	Status int
 	// Body is the part of the answer's body that arrived.
@@ -124,6 +126,8 @@
 	Drains []Drain
 	// Exits are the ends of the hosts' processes.
 	Exits []Exit
+	// Crashes are the times at which servers crashed under a prompt, in order.
+	Crashes []time.Duration
 	// Held are the memory reservations left at the end, one entry for each
 	// server.
 	Held []HeldMemory
@@ -131,8 +135,12 @@
 	LastFault time.Duration
 }
 
-// storeTarget is the target of the faults of the platform's store.
-const storeTarget = "store"
+// storeTarget is the target of the faults of the platform's store, callersTarget that
+// of what callers send.
+const (
+	storeTarget   = "store"
+	callersTarget = "callers"
+)
 
 // hasFault reports whether a fault of one of the targets overlaps the time span.
 func (h *History) hasFault(from, to time.Duration, targets ...string) bool {
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -28,6 +28,8 @@
 func (hs *harness) injectFault(ctx context.Context, s scheduledFault) {
 	target := storeTarget
 	switch s.targetKind {
+	case targetCallers:
+		target = callersTarget
 	case targetHost:
 		target = hs.hosts[s.targetIndex].name
 	case targetServer:
@@ -44,6 +46,10 @@
 		hs.injectHostFault(ctx, hs.hosts[s.targetIndex], s)
 	case targetStore:
 		hs.injectStoreFault(ctx, s)
+	case targetCallers:
+		hs.crashingPrompts.Add(1)
+		sleep(ctx, s.duration)
+		hs.crashingPrompts.Add(-1)
 	default:
 		hs.injectServerFault(ctx, hs.servers[s.targetIndex], s)
 	}
@@ -149,6 +155,9 @@
 		serverRelay.BlackholeConnections()
 	case serverLinkReset:
 		serverRelay.ResetConnections()
+	case serverCrashes:
+		standIn.Crash()
+		sleep(ctx, standIn.Downtime)
 	case serverReplaced:
 		if err := server.replace(s.targetIndex); err != nil {
 			hs.recordError(err)
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -10,7 +10,7 @@
 type Fault string
 
 // Kinds of faults: first those of hosts, then those of the connections to the
-// store, of the connections between hosts, of the store, and of servers.
+// store, of the connections between hosts, of the store, of servers, and of callers.
 const (
 	hostStop   Fault = "host is stopped and started"
 	hostReload Fault = "host is told to read its settings"
@@ -42,6 +42,9 @@
 	serverLinkReset         Fault = "connections to a server are reset"
 	serverLinkDelayed       Fault = "server is far away"
 	serverReplaced          Fault = "server leaves and another one comes"
+	serverCrashes           Fault = "server crashes and starts again"
+
+	promptsCrashServers Fault = "prompts with one part crash servers"
 )
 
 // isPlanned reports whether the fault is work that operators plan, during which no
@@ -57,6 +60,7 @@
 	targetHost targetKind = iota
 	targetStore
 	targetServer
+	targetCallers
 )
 
 // faultCatalogue lists the kinds of faults that are drawn, with the component that
@@ -93,6 +97,8 @@
 	{serverLinkReset, targetServer, 0},
 	{serverLinkDelayed, targetServer, 4 * time.Second},
 	{serverReplaced, targetServer, 0},
+	{serverCrashes, targetServer, 0},
+	{promptsCrashServers, targetCallers, 6 * time.Second},
 }
 
 // scheduledFault is one fault of a schedule.
--- a/internal/bench/soak/server.go
+++ b/internal/bench/soak/server.go
@@ -52,6 +52,7 @@
 func (s *server) startStandIn(index int) error {
 	s.generation++
 	next := standin.NewServer(fmt.Sprintf("%s-%d-%d", s.service, index, s.generation))
+	next.CrashUnder(crashingPart)
 	next.EventCount = streamEvents
 	next.EventInterval = eventInterval
 	r, err := relay.Start("127.0.0.1:0", next.Address(), relay.SingleLink(s.link), s.harness.config.Seed)
--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -45,7 +45,9 @@
 func crashTimes(servers []*standin.Server) []time.Time {
 	var all []time.Time
 	for _, s := range servers {
-		all = append(all, s.Crashes()...)
+		for _, crash := range s.Crashes() {
+			all = append(all, crash.At)
+		}
 	}
 	slices.SortFunc(all, time.Time.Compare)
 	return all
