Tell other hosts of lost paths in a message of its own

A field for it had been added to the work reports, which hosts exchange as arrays. Hosts of the earlier release can't read an array with one more value, so in a fleet of two releases each half would have placed requests without the other's work and passed none on. Found by a test before any release had it: msgpack refuses with "number of fields in array-encoded struct has changed".

TestWorkReportsKeepTheirForm failed before. TestHostsWithoutServersServeThroughOthers passes as before.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -54,8 +54,10 @@
 	// is when a report last listed all work.
 	pendingReport  WorkReport
 	lastFullReport time.Duration
-	// reportedCutOff tells whether the last report said that this host is cut off.
-	reportedCutOff bool
+	// toldCutOff tells whether this host last told the others that it is cut off, and
+	// toldCutOffAt when.
+	toldCutOff   bool
+	toldCutOffAt time.Duration
 	// ticking is set during the step of a Tick.
 	ticking bool
 	// effects collects the effects of the current step.
@@ -120,6 +122,8 @@
 		c.setForwarders(e.Forwarders)
 	case ConnectionProbed:
 		c.handleConnectionProbed(e, now)
+	case HostCutOff:
+		c.handleHostCutOff(e, now)
 	case QuarantineReported:
 		c.receiveQuarantineReport(e.Report, now)
 	case Tick:
@@ -142,6 +146,7 @@
 	c.renewReservations(now)
 	c.updateQuarantine(now)
 	c.probePaths(now)
+	c.tellCutOff(now)
 }
 
 // Waiting returns the number of requests in the queue. The gateway exports it
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -191,6 +191,10 @@
 	Timeout time.Duration
 }
 
+// BroadcastCutOff tells all other hosts that this one is cut off from all servers, or
+// no longer.
+type BroadcastCutOff struct{ CutOff bool }
+
 // BroadcastQuarantine tells all other hosts what this one has found out about parts
 // of prompts.
 type BroadcastQuarantine struct{ Report QuarantineReport }
@@ -218,6 +222,7 @@
 )
 
 func (Send) effect()                 {}
+func (BroadcastCutOff) effect()      {}
 func (ProbeConnection) effect()      {}
 func (BroadcastQuarantine) effect()  {}
 func (QuarantineChanged) effect()    {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -180,6 +180,12 @@
 	Connected bool
 }
 
+// HostCutOff reports that another host is cut off from all servers, or no longer.
+type HostCutOff struct {
+	Host   string
+	CutOff bool
+}
+
 // QuarantineReported carries what another host has found out about parts of prompts.
 type QuarantineReported struct{ Report QuarantineReport }
 
@@ -216,5 +222,6 @@
 func (ReportReceived) event()     {}
 func (PeersChanged) event()       {}
 func (QuarantineReported) event() {}
+func (HostCutOff) event()         {}
 func (ConnectionProbed) event()   {}
 func (Tick) event()               {}
--- a/internal/balance/forward.go
+++ b/internal/balance/forward.go
@@ -9,8 +9,33 @@
 	// forwarderBackoff is how long a host is avoided that could not be reached, or that
 	// refused a request which another host may serve.
 	forwarderBackoff = time.Second
+	// cutOffInterval is the time between two messages of a host that it is cut off, and
+	// cutOffMemory how long one counts.
+	cutOffInterval = time.Second
+	cutOffMemory   = 2500 * time.Millisecond
 )
 
+// tellCutOff tells the other hosts when this one is cut off from all servers, again and
+// again while it is, and when that ends.
+func (c *Core) tellCutOff(now time.Duration) {
+	cutOff := c.isCutOff()
+	if c.otherHosts == 0 || cutOff == c.toldCutOff && (!cutOff || now-c.toldCutOffAt < cutOffInterval) {
+		return
+	}
+	c.toldCutOff, c.toldCutOffAt = cutOff, now
+	c.emit(BroadcastCutOff{CutOff: cutOff})
+}
+
+// handleHostCutOff records what another host tells of its paths.
+func (c *Core) handleHostCutOff(e HostCutOff, now time.Duration) {
+	if p := c.peers[e.Host]; p != nil {
+		p.cutOffUntil = now
+		if e.CutOff {
+			p.cutOffUntil += cutOffMemory
+		}
+	}
+}
+
 // forwarder is another host to which requests can be passed on.
 type forwarder struct {
 	Forwarder
@@ -62,7 +87,7 @@
 	}
 	for _, f := range c.forwarders {
 		p := c.peers[f.Host]
-		usable := p != nil && !p.cutOff && now-p.lastReceived <= maxPeerSilence && now >= f.avoidUntil
+		usable := p != nil && now >= p.cutOffUntil && now-p.lastReceived <= maxPeerSilence && now >= f.avoidUntil
 		if usable && (r == nil || !r.triedHosts[f.Host]) && better(f) {
 			best = f
 		}
--- a/internal/balance/forward_test.go
+++ b/internal/balance/forward_test.go
@@ -22,8 +22,9 @@
 	}})
 	now := time.Second
 	for _, host := range []string{"near", "far", "cut-off-too"} {
-		c.Step(now, ReportReceived{Host: host, Report: WorkReport{Boot: 1, Full: true, CutOff: host == "cut-off-too"}})
+		c.Step(now, ReportReceived{Host: host, Report: WorkReport{Boot: 1, Full: true}})
 	}
+	c.Step(now, HostCutOff{Host: "cut-off-too", CutOff: true})
 	cutOff(c, now)
 	return c
 }
@@ -158,13 +159,35 @@
 	c.Step(0, PeersChanged{OtherHosts: 1})
 	c.Step(time.Second, Tick{})
 	cutOff(c, 1100*time.Millisecond)
-	var reported []bool
-	for _, e := range c.Step(1100*time.Millisecond, Tick{}) {
-		if b, ok := e.(BroadcastReport); ok {
-			reported = append(reported, b.Report.CutOff)
+	told := func(now time.Duration) []bool {
+		var list []bool
+		for _, e := range c.Step(now, Tick{}) {
+			if b, ok := e.(BroadcastCutOff); ok {
+				list = append(list, b.CutOff)
+			}
 		}
+		return list
 	}
-	g.Expect(reported).To(Equal([]bool{true}))
+	g.Expect(told(1100 * time.Millisecond)).To(Equal([]bool{true}))
+	g.Expect(told(1200 * time.Millisecond)).To(BeEmpty())
+	g.Expect(told(2200*time.Millisecond)).To(Equal([]bool{true}), "again while it lasts")
+	c.Step(2300*time.Millisecond, ConnectionProbed{Upstream: "llma1", Connected: true})
+	g.Expect(told(2300 * time.Millisecond)).To(Equal([]bool{false}))
+}
+
+// TestHostCountsAsCutOffForAWhile guards against a host that stays out since the end of
+// its cut was not heard.
+func TestHostCountsAsCutOffForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	c := newCutOffCore(t)
+	now := time.Second
+	for host, cutOff := range map[string]bool{"near": true, "far": true, "cut-off-too": false} {
+		c.Step(now, HostCutOff{Host: host, CutOff: cutOff})
+	}
+	g.Expect(c.chooseForwarder(nil, now).Host).To(Equal("cut-off-too"))
+	c.Step(now, HostCutOff{Host: "cut-off-too", CutOff: true})
+	g.Expect(c.CanForward(now)).To(BeFalse())
+	g.Expect(c.CanForward(now + cutOffMemory)).To(BeTrue())
 }
 
 // TestFirstTriesAreServedWhileHostsReachNoServer guards against hosts that serve less
--- a/internal/balance/quarantine.go
+++ b/internal/balance/quarantine.go
@@ -26,7 +26,7 @@
 )
 
 // QuarantineReport is what one host tells the others about parts of prompts. Hosts
-// exchange it as an array, so the order of the fields is part of the protocol.
+// exchange it under the names of its fields.
 type QuarantineReport struct {
 	Crashes  []quarantine.Crash
 	Verdicts []quarantine.Verdict
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -7,7 +7,8 @@
 // what a lost report left wrong.
 //
 // Hosts exchange reports as arrays of values without field names, so the order
-// of the fields is a part of the protocol. The same holds for ReportedWork and
+// and the number of the fields are a part of the protocol: hosts of another release
+// can't read a report with more or fewer. The same holds for ReportedWork and
 // ReportedEnd.
 type WorkReport struct {
 	// Boot is a number that differs between the runs of the host's process. A
@@ -24,9 +25,6 @@
 	Decoding []uint64
 	// Ended lists the attempts that have ended since the last report.
 	Ended []ReportedEnd
-	// CutOff is set while the host reaches no upstream. Hosts of an earlier release do
-	// not tell.
-	CutOff bool
 }
 
 // ReportedWork is the part of one request's load that falls on one upstream.
@@ -81,8 +79,9 @@
 type peer struct {
 	bootNumber   uint64
 	lastReceived time.Duration
-	// cutOff is set while the host reaches no upstream.
-	cutOff bool
+	// cutOffUntil is the time until which the host counts as cut off from all upstreams,
+	// unless it says so again.
+	cutOffUntil time.Duration
 }
 
 // receiveReport applies another host's report to the ledgers and to the health
@@ -96,7 +95,7 @@
 	if now-p.lastReceived > maxPeerSilence {
 		c.quarantine.AnnounceSoon(now)
 	}
-	p.lastReceived, p.cutOff = now, report.CutOff
+	p.lastReceived = now
 	if report.Full || report.Boot != p.bootNumber {
 		p.bootNumber = report.Boot
 		c.dropUnreportedWork(host, report.Work, now)
@@ -200,12 +199,10 @@
 		c.pendingReport.Work = c.ownWork(now)
 		c.pendingReport.Decoding = nil
 	}
-	c.pendingReport.CutOff = c.isCutOff()
-	changed := onTick && c.pendingReport.CutOff != c.reportedCutOff
-	if !changed && !c.pendingReport.Full && len(c.pendingReport.Work) == 0 && (!onTick || len(c.pendingReport.Decoding)+len(c.pendingReport.Ended) == 0) {
+	if !c.pendingReport.Full && len(c.pendingReport.Work) == 0 && (!onTick || len(c.pendingReport.Decoding)+len(c.pendingReport.Ended) == 0) {
 		return
 	}
-	c.pendingReport.Boot, c.reportedCutOff = c.bootNumber, c.pendingReport.CutOff
+	c.pendingReport.Boot = c.bootNumber
 	c.emit(BroadcastReport{Report: c.pendingReport})
 	c.pendingReport = WorkReport{}
 }
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -254,6 +254,8 @@
 			return
 		}
 		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt})
+	case BroadcastCutOff:
+		sim.broadcast(host, HostCutOff{Host: fmt.Sprint("h", host), CutOff: e.CutOff})
 	case BroadcastQuarantine:
 		sim.broadcast(host, QuarantineReported(e))
 	case QuarantineChanged:
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -46,17 +46,18 @@
 
 	// orders sends memory reservations to servers, broadcastReport sends a work
 	// report to all other hosts, broadcastLimit the limit that a server named,
-	// broadcastQuarantine what was found out about parts of prompts, and
-	// removeExpiredServers is called at each tick.
+	// broadcastQuarantine what was found out about parts of prompts, broadcastCutOff
+	// whether this host reaches servers, and removeExpiredServers is called at each tick.
 	orders               *orderSender
 	broadcastReport      func(balance.WorkReport)
 	broadcastLimit       func(upstream string, perSecond float64)
 	broadcastQuarantine  func(balance.QuarantineReport)
+	broadcastCutOff      func(cutOff bool)
 	removeExpiredServers func()
 }
 
 // newControl returns a control whose fields orders, broadcastReport, broadcastLimit,
-// broadcastQuarantine and removeExpiredServers are still to be set.
+// broadcastQuarantine, broadcastCutOff and removeExpiredServers are still to be set.
 func newControl(core *balance.Core, c clock.Clock, logger log.Interface, metrics *telemetry.Registry) *control {
 	return &control{
 		core: core, clock: c, logger: logger, metrics: metrics,
@@ -161,6 +162,8 @@
 		go c.probe(e)
 	case balance.BroadcastQuarantine:
 		c.broadcastQuarantine(e.Report)
+	case balance.BroadcastCutOff:
+		c.broadcastCutOff(e.CutOff)
 	case balance.QuarantineChanged:
 		c.logQuarantine(e)
 	case balance.UpstreamStateChanged:
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/platform/standin"
@@ -188,3 +190,29 @@
 	answer := h.send("GET", "/g/", "", standin.HeaderRequestID, "r", standin.HeaderKey, standin.KeyHeaderValue("k1"), headerPriorRuns, "some")
 	g.Expect(answer.status).To(Equal(http.StatusOK))
 }
+
+// TestWorkReportsKeepTheirForm guards against hosts of two releases that can't read each
+// other's work reports, which have a fixed number of fields.
+func TestWorkReportsKeepTheirForm(t *testing.T) {
+	g := NewWithT(t)
+	type releasedReport struct {
+		Boot     uint64
+		Full     bool
+		Work     []balance.ReportedWork
+		Decoding []uint64
+		Ended    []balance.ReportedEnd
+	}
+	encode := func(v any) []byte {
+		var body bytes.Buffer
+		encoder := msgpack.NewEncoder(&body)
+		encoder.UseArrayEncodedStructs(true)
+		g.Expect(encoder.Encode(v)).To(Succeed())
+		return body.Bytes()
+	}
+	var released releasedReport
+	g.Expect(msgpack.Unmarshal(encode(&balance.WorkReport{Boot: 7, Decoding: []uint64{4}}), &released)).To(Succeed())
+	g.Expect(released).To(Equal(releasedReport{Boot: 7, Decoding: []uint64{4}}))
+	var present balance.WorkReport
+	g.Expect(msgpack.Unmarshal(encode(&releasedReport{Boot: 8, Decoding: []uint64{5}}), &present)).To(Succeed())
+	g.Expect(present).To(Equal(balance.WorkReport{Boot: 8, Decoding: []uint64{5}}))
+}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -120,6 +120,7 @@
 	p.control.broadcastReport = p.peers.broadcastReport
 	p.control.broadcastLimit = p.peers.broadcastLimit
 	p.control.broadcastQuarantine = p.peers.broadcastQuarantine
+	p.control.broadcastCutOff = p.peers.broadcastCutOff
 	p.control.removeExpiredServers = p.storeView.removeExpiredServers
 	p.ingress = &ingress{
 		clock: p.clock, logger: logger, metrics: p.metrics, storeView: p.storeView,
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -8,8 +8,7 @@
 )
 
 // Crash reports a request that a server had hardly begun to answer when it crashed.
-// Hosts exchange crashes as arrays, so the order of the fields is part of the
-// protocol. The same holds for Verdict.
+// Hosts exchange crashes and verdicts under the names of their fields.
 type Crash struct {
 	// Server identifies one run of the server, Host the host that saw its crash.
 	Server, Host string
