Do not let a server's headers pass for those of a host

A server that answers with the headers by which hosts tell each other of refusals made the host in between tell its caller that the request had not run, with 503, although it had. The headers are removed from answers of servers.

TestServersCanNotSpeakForHosts: 503 before, the server's 200 after.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -11,15 +10,6 @@
 	"github.com/chestnutline/chestnutline/platform/standin"
 )
 
-// wholeStream returns the stream that answers a request.
-func wholeStream(request string, events int) string {
-	var text strings.Builder
-	for id := range events {
-		text.WriteString(standin.FormatEvent(request, id))
-	}
-	return text.String()
-}
-
 // TestAnswersThatEndWithTheirConnectionAreDelivered guards against answers that are
 // lost because they have neither a length nor chunks.
 func TestAnswersThatEndWithTheirConnectionAreDelivered(t *testing.T) {
@@ -29,43 +19,41 @@
 	setFault(desks, standin.Unframed)
 	stream := h.sendPrompt("r-1", "5c:40,own:20")
 	g.Expect(stream.readError).NotTo(HaveOccurred())
-	g.Expect(stream.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	g.Expect(stream.body).To(Equal(expectedStream("r-1", engines[0].EventCount)))
 	call := h.send("GET", "/g/", "", standin.HeaderRequestID, "r-2", standin.HeaderKey, standin.KeyHeaderValue("k1"))
 	g.Expect(call.status).To(Equal(http.StatusOK))
 	g.Expect(call.body).To(HaveSuffix("for r-2"))
 }
 
-// TestStreamThatClosesWithinAnEventIsBrokenOff guards against streams without length
-// or chunks that look complete although their server broke them off.
-func TestStreamThatClosesWithinAnEventIsBrokenOff(t *testing.T) {
+// expectStreamFromTheOtherServer sends prompts to two servers, one of which has a fault,
+// and expects whole streams. It returns the host and the servers.
+func expectStreamFromTheOtherServer(t *testing.T, fault standin.Fault) (*testHost, []*standin.Server) {
+	t.Helper()
 	g := NewWithT(t)
 	h, _, engines, _ := setUp(t)
-	engines[0].SetFault(standin.UnframedTruncating)
+	engines[0].SetFault(fault)
 	engines[1].SetFault(standin.Unframed)
 	for range 4 {
 		answer := h.sendPrompt("r-1", "5c:40,own:20")
 		g.Expect(answer.readError).NotTo(HaveOccurred())
-		g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)), "continued at the other server")
+		g.Expect(answer.body).To(Equal(expectedStream("r-1", engines[0].EventCount)))
 	}
 	g.Expect(receivedCount(engines[:1])).To(BeNumerically(">", 0))
+	return h, engines
+}
+
+// TestStreamThatClosesWithinAnEventIsBrokenOff guards against streams without length
+// or chunks that look complete although their server broke them off.
+func TestStreamThatClosesWithinAnEventIsBrokenOff(t *testing.T) {
+	h, engines := expectStreamFromTheOtherServer(t, standin.UnframedTruncating)
 	setFault(engines, standin.UnframedTruncating)
-	answer := h.sendPrompt("r-2", "5c:40,own:20")
-	g.Expect(answer.readError).To(HaveOccurred(), "no server completes it")
+	NewWithT(t).Expect(h.sendPrompt("r-2", "5c:40,own:20").readError).To(HaveOccurred(), "no server completes it")
 }
 
 // TestStreamThatClosesBeforeItsFirstEventIsRepeated guards against a crash that looks
 // like an empty stream when its answer has neither a length nor chunks.
 func TestStreamThatClosesBeforeItsFirstEventIsRepeated(t *testing.T) {
-	g := NewWithT(t)
-	h, _, engines, _ := setUp(t)
-	engines[0].SetFault(standin.UnframedEmpty)
-	engines[1].SetFault(standin.Unframed)
-	for range 4 {
-		answer := h.sendPrompt("r-1", "5c:40,own:20")
-		g.Expect(answer.readError).NotTo(HaveOccurred())
-		g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
-	}
-	g.Expect(receivedCount(engines[:1])).To(BeNumerically(">", 0))
+	expectStreamFromTheOtherServer(t, standin.UnframedEmpty)
 }
 
 // TestEndlessBytesAreCutOff guards against servers that send a header or a body
@@ -98,7 +86,7 @@
 	setFault(engines, standin.Pausing)
 	answer := h.sendPrompt("r-1", "5c:40,own:20")
 	g.Expect(answer.readError).NotTo(HaveOccurred())
-	g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", engines[0].EventCount)))
 	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
 	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
 }
@@ -113,7 +101,7 @@
 	}
 	answer := h.sendPrompt("r-1", "5c:40,own:20")
 	g.Expect(answer.readError).NotTo(HaveOccurred())
-	g.Expect(answer.body).To(Equal(wholeStream("r-1", 2)))
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", 2)))
 	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
 	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,6 +175,7 @@
 // handleResponse checks the header of a response and forwards the response if
 // it is an answer to the request.
 func (a *attempt) handleResponse(response *http.Response) outcome {
+	removeHostHeaders(response.Header)
 	head := platform.DecodeUpstreamResponse(response, a.inbound.request.ID)
 	if head.MatchesRequest && !head.ServerReplaced {
 		a.reportLimit(head)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -46,6 +46,13 @@
 	g.serve(w, r, func(inbound *inboundRequest) { inbound.forwarded, inbound.priorRuns = true, priorRuns })
 }
 
+// removeHostHeaders removes the headers by which hosts tell each other how a request
+// ended from the response of a server, which must not pass for that of a host.
+func removeHostHeaders(header http.Header) {
+	header.Del(headerRefused)
+	header.Del(headerFailed)
+}
+
 // buildForward returns the request to another host that is to answer it.
 func (a *attempt) buildForward() httpcall.Call {
 	header := platform.ForwardHeader(a.r.Header, a.send.Deadline-a.startedAt, a.lastEventID)
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -90,7 +90,7 @@
 	})
 	answer := h.sendPrompt("r-1", "5c:40,own:20")
 	g.Expect(answer.readError).NotTo(HaveOccurred())
-	g.Expect(answer.body).To(Equal(wholeStream("r-1", servers[0].EventCount)))
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", servers[0].EventCount)))
 	g.Expect(h.logs.hasEvent(7008)).To(BeTrue())
 }
 
@@ -143,6 +143,20 @@
 	}
 }
 
+// TestServersCanNotSpeakForHosts guards against a server whose headers make a request
+// that it has run look refused by the host in between.
+func TestServersCanNotSpeakForHosts(t *testing.T) {
+	g := NewWithT(t)
+	h, _, _, _, desks := setUpCutOffHost(t)
+	for _, s := range desks {
+		s.Header = http.Header{headerRefused: {"overloaded"}, headerFailed: {"time_limit"}}
+	}
+	answer := h.sendCall("r-1", "POST", "/u/")
+	g.Expect(answer.status).To(Equal(http.StatusOK))
+	g.Expect(answer.header).NotTo(HaveKey(headerRefused))
+	g.Expect(answer.header).NotTo(HaveKey(headerFailed))
+}
+
 // TestHostGoesBackToItsOwnPaths guards against a host that stays with others after its
 // paths are back.
 func TestHostGoesBackToItsOwnPaths(t *testing.T) {
@@ -172,7 +186,7 @@
 	other.stop()
 	answer := <-answers
 	g.Expect(answer.readError).NotTo(HaveOccurred())
-	g.Expect(answer.body).To(Equal(wholeStream("r-1", engines[0].EventCount)))
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", engines[0].EventCount)))
 }
 
 // TestPriorRunsMustBeANumber sends a bad header between hosts, and the header of hosts
