--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,15 +81,28 @@
 	done chan error
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// The ports that freeAddress chooses from are below those that the system gives to
+// outgoing connections, which could take a port between its choice and its use.
+const firstTestPort, testPortCount = 10000, 20000
+
+// lastTestPort counts the ports that freeAddress has tried, from a random one on.
+var lastTestPort atomic.Uint32
+
+func init() { lastTestPort.Store(rand.Uint32N(testPortCount)) }
+
+// freeAddress returns a loopback address whose port was free a moment ago, and that no
+// other call in this process returns.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range testPortCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstTestPort+lastTestPort.Add(1)%testPortCount)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // freePort returns the port of a free loopback address.
