--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -98,7 +98,7 @@
 	{serverLinkDelayed, targetServer, 4 * time.Second},
 	{serverReplaced, targetServer, 0},
 	{serverCrashes, targetServer, 0},
-	{promptsCrashServers, targetCallers, 6 * time.Second},
+	{promptsCrashServers, targetCallers, 12 * time.Second},
 }
 
 // scheduledFault is one fault of a schedule.
