Blame prompts by answers that had begun

A crash therefore counts against what only waited there if no prompt is suspected whose answer had begun, and not at all within 20 ms of the sending.

TestConnectionsThatAreResetAtOnceBlameNoPrompt failed before: refused from the fourth request on. TestPromptsThatOnlyWaitedAreNoSuspects names a field that is new.

--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -117,6 +117,8 @@
 	// ConnectionBroken is set when the leader closed or reset the connection before
 	// its answer was complete.
 	ConnectionBroken bool
+	// AnswerBegun is set when the leader had sent the header of its answer.
+	AnswerBegun bool
 	// RefusedCode and RetryAfter are what another host told with FailureHostRefused.
 	RefusedCode ErrorCode
 	RetryAfter  time.Duration
--- a/internal/balance/quarantine.go
+++ b/internal/balance/quarantine.go
@@ -14,6 +14,10 @@
 	// youngAnswerTime is the time from the first piece of an answer during which a
 	// crash of its server may still be due to its prompt.
 	youngAnswerTime = 250 * time.Millisecond
+	// minUnansweredTime is the least time that a request without any answer must have
+	// been at a server to be a suspect. What is in front of a dead server may accept
+	// connections and reset them at once.
+	minUnansweredTime = 20 * time.Millisecond
 	// soundAnswerTime is the time from the first piece of an answer after which its
 	// prompt is taken to be sound.
 	soundAnswerTime = 500 * time.Millisecond
@@ -84,14 +88,17 @@
 	return true
 }
 
-// recordCrash records that an upstream broke off its answer to a request. It says
-// nothing about the prompt if the answer had been under way for some time.
-func (c *Core) recordCrash(r *request, u *upstream, now time.Duration) {
-	if r.firstPieceAt > 0 && now-r.firstPieceAt > youngAnswerTime || len(r.SharedParts) == 0 {
+// recordCrash records that an upstream broke its connection for a request, after the
+// header of its answer or before. It says nothing about the prompt if the answer had
+// been under way for some time, or if there was no time to work on it.
+func (c *Core) recordCrash(r *request, u *upstream, begun bool, now time.Duration) {
+	old := r.firstPieceAt > 0 && now-r.firstPieceAt > youngAnswerTime
+	untouched := !begun && now-r.sentAt < minUnansweredTime
+	if old || untouched || len(r.SharedParts) == 0 {
 		return
 	}
 	crash, verdicts := c.quarantine.RecordCrash(quarantine.Crash{
-		Server: fmt.Sprintf("%s/%d", u.ID, u.Incarnation), Host: c.config.Host, Parts: r.SharedParts,
+		Server: fmt.Sprintf("%s/%d", u.ID, u.Incarnation), Host: c.config.Host, Begun: begun, Parts: r.SharedParts,
 	}, now)
 	if len(crash.Parts) > 0 {
 		c.broadcastQuarantine(QuarantineReport{Crashes: []quarantine.Crash{crash}})
--- a/internal/balance/quarantine_test.go
+++ b/internal/balance/quarantine_test.go
@@ -250,6 +250,24 @@
 	g.Expect(effects).To(ContainElement(HaveField("Code", CodePromptQuarantined)), "it may have run, so it fails")
 }
 
+// TestConnectionsThatAreResetAtOnceBlameNoPrompt guards against prompts that are
+// quarantined since a balancer in front of dead servers accepts connections and resets
+// them.
+func TestConnectionsThatAreResetAtOnceBlameNoPrompt(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	for n := range uint64(20) {
+		now := time.Duration(n) * 200 * time.Millisecond
+		r := newArrival(n+1, shortRoute, "llm", 5000, now)
+		r.SharedParts = []string{"new"}
+		sent := firstSend(c.Step(now, r))
+		g.Expect(sent).NotTo(BeNil())
+		c.Step(now+time.Millisecond, AttemptFailed{RequestNumber: n + 1, Attempt: sent.Attempt, Class: FailureAnswerLost, ConnectionBroken: true})
+		c.Step(now+time.Millisecond, CallerGone{RequestNumber: n + 1})
+	}
+	g.Expect(c.QuarantinedParts()).To(BeZero())
+}
+
 // TestReservedPromptIsNotSentOnceItsPartIsQuarantined covers the time between the
 // choice of servers and the confirmation of their memory.
 func TestReservedPromptIsNotSentOnceItsPartIsQuarantined(t *testing.T) {
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -364,7 +364,7 @@
 		observed = FailureNotConnected
 	}
 	if e.ConnectionBroken && failedMember == r.members[0] {
-		c.recordCrash(r, failedMember, now)
+		c.recordCrash(r, failedMember, e.AnswerBegun, now)
 	}
 	c.recordOutcome(failedMember, observed, r.sentAt, now)
 	r.tried[failedMember.ID] = true
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -556,11 +556,12 @@
 	s.downUntil = sim.now + downtime
 	s.passEnd = s.downUntil
 	lost := append(append([]*job(nil), s.running...), s.queue...)
+	decoding := s.decoders
 	s.running, s.queue, s.decoders = nil, nil, nil
 	for _, j := range lost {
 		if j.isLeader {
 			sim.schedule(5*time.Millisecond, func() {
-				sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureAnswerLost, ConnectionBroken: true})
+				sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureAnswerLost, ConnectionBroken: true, AnswerBegun: slices.Contains(decoding, j)})
 			})
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,6 +57,8 @@
 	// connectionBroken is true if the upstream closed or reset the connection before
 	// its answer was complete.
 	connectionBroken bool
+	// answerBegun is true once the upstream has sent the header of its answer.
+	answerBegun bool
 	// refusedCode and retryAfter are what another host told that refused the request,
 	// finalCode the reason for which it gave up on a request that may have run.
 	refusedCode, finalCode balance.ErrorCode
@@ -86,7 +88,9 @@
 		return a.classifyFailedCall(err)
 	}
 	defer response.Body.Close()
-	return handle(response)
+	result := handle(response)
+	result.answerBegun = true
+	return result
 }
 
 // buildCall returns the request to the upstream. The first member of the
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,7 +110,7 @@
 	x.metrics.Count("gateway_attempts_failed_total", 1, "class", string(outcome.class))
 	x.control.post(balance.AttemptFailed{
 		RequestNumber: x.requestNumber, Attempt: send.Attempt, Class: outcome.class, FailedAddress: outcome.failedAddress, PartlyDelivered: x.responseStarted,
-		ConnectionBroken: outcome.connectionBroken, RefusedCode: outcome.refusedCode, RetryAfter: outcome.retryAfter,
+		ConnectionBroken: outcome.connectionBroken, AnswerBegun: outcome.answerBegun, RefusedCode: outcome.refusedCode, RetryAfter: outcome.retryAfter,
 		Final: outcome.finalCode != "", FinalCode: outcome.finalCode,
 	})
 	return false
--- a/internal/logevent/gateway.go
+++ b/internal/logevent/gateway.go
@@ -14,7 +14,7 @@
 	RoutedForwarded         = declare(7008, log.InfoLevel, "request passed on", "This host reaches no server for the request and passed it on to the host in field host, which answers through its own servers.")
 	MemoryReserved          = declare(7010, log.InfoLevel, "memory reserved", "A server was asked to reserve memory for a prompt; ok says whether it did.")
 	MemoryNotReleased       = declare(7011, log.InfoLevel, "memory not released", "A server did not confirm the release of a memory reservation. The memory is free again when the reservation's lease ends.")
-	UpstreamExcluded        = declare(7020, log.InfoLevel, "upstream excluded", "The outcome of requests showed that an upstream has problems; it gets no requests for a while.")
+	UpstreamExcluded        = declare(7020, log.InfoLevel, "upstream excluded", "The outcome of requests showed that an upstream, or the path to a data centre, has problems; it gets no requests for a while. Field belief also tells when a data centre is reached again.")
 	ServerChanged           = declare(7021, log.InfoLevel, "server changed", "A server registered itself, or announced that it is leaving.")
 	ServersRemoved          = declare(7022, log.InfoLevel, "servers removed", "Servers are no longer registered. Those whose registration may have expired during an outage of the store are kept for a while.")
 	RegistrationUnreadable  = declare(7023, log.WarnLevel, "registration unreadable", "An entry of the store does not have the expected form and is ignored. Look for another program that writes there.")
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,6 +12,9 @@
 type Crash struct {
 	// Server identifies one run of the server, Host the host that saw its crash.
 	Server, Host string
+	// Begun is set when the server had sent the header of its answer. Without it, the
+	// request may just have waited there.
+	Begun bool
 	// Parts are the shared parts of the request's prompt that have not been seen in
 	// a sound answer lately.
 	Parts []string
@@ -35,19 +38,27 @@
 // record is what is known about one part.
 type record struct {
 	// crashes holds when each server crashed and which host saw it.
-	crashes           map[string]seen
-	firstAt, lastAt   time.Duration
-	together          []string
-	convicted         bool
-	holdUntil         time.Duration
-	trials            int
+	crashes map[string]seen
+	// lastAt is when the last of them was reported.
+	lastAt time.Duration
+	// together lists the part and those that every suspected prompt with it had.
+	together []string
+	// convicted is set while the part is quarantined. holdUntil is when the next trial
+	// may begin, after the given number of them.
+	convicted bool
+	holdUntil time.Duration
+	trials    int
+	// metAt is when a request with the part was last met, announceAt when this host
+	// announces the verdict.
 	metAt, announceAt time.Duration
 }
 
-// seen tells which host saw a crash, and when it was reported here.
+// seen tells which host saw a crash, when it was reported here, and whether the answer
+// to a prompt with the part had begun.
 type seen struct {
-	host string
-	at   time.Duration
+	host  string
+	at    time.Duration
+	begun bool
 }
 
 // Table holds what one host knows about the parts of prompts. It is not safe for
@@ -57,6 +68,9 @@
 	random  *rand.Rand
 	sound   soundParts
 	records map[string]*record
+	// explained holds when a server crashed under an answer that had begun, by server.
+	// What only waited there is then no suspect.
+	explained map[string]time.Duration
 	// convicted is the number of records that are convicted.
 	convicted int
 }
@@ -68,7 +82,7 @@
 		return nil, err
 	}
 	return &Table{
-		config: config, random: random, records: make(map[string]*record),
+		config: config, random: random, records: make(map[string]*record), explained: make(map[string]time.Duration),
 		sound: newSoundParts(config.SoundMemory, config.MaxSoundParts),
 	}, nil
 }
@@ -87,6 +101,10 @@
 		}
 	}
 	c.Parts = suspects
+	if c.Begun && len(suspects) > 0 {
+		maps.DeleteFunc(t.explained, func(_ string, at time.Duration) bool { return now-at > t.config.CrashMemory })
+		t.explained[c.Server] = now
+	}
 	var verdicts []Verdict
 	for _, part := range suspects {
 		r := t.record(part, now)
@@ -94,7 +112,7 @@
 			continue
 		}
 		r.add(c, now, t.config.CrashMemory)
-		if !r.convicted && len(r.crashes) >= t.config.MinCrashes && r.lastAt-r.firstAt >= t.config.MinSpan {
+		if !r.convicted && t.suspicious(r) {
 			r.convicted, r.holdUntil, r.metAt = true, now+t.config.hold(0), now
 			r.announceAt = t.nextAnnouncement(now)
 			t.convicted++
@@ -104,6 +122,24 @@
 	return c, verdicts
 }
 
+// suspicious reports whether enough servers have crashed under a part, at moments that
+// are far enough apart.
+func (t *Table) suspicious(r *record) bool {
+	count := 0
+	var first, last time.Duration
+	for server, s := range r.crashes {
+		if _, explained := t.explained[server]; explained && !s.begun {
+			continue
+		}
+		if count == 0 {
+			first, last = s.at, s.at
+		}
+		count++
+		first, last = min(first, s.at), max(last, s.at)
+	}
+	return count >= t.config.MinCrashes && last-first >= t.config.MinSpan
+}
+
 // add records a crash, and forgets those that are too long ago.
 func (r *record) add(c Crash, now, memory time.Duration) {
 	if r.together == nil {
@@ -111,18 +147,14 @@
 	} else {
 		r.together = intersect(r.together, c.Parts)
 	}
-	if _, known := r.crashes[c.Server]; known {
+	if known, ok := r.crashes[c.Server]; ok {
+		known.begun = known.begun || c.Begun
+		r.crashes[c.Server] = known
 		return
 	}
-	r.crashes[c.Server] = seen{host: c.Host, at: now}
-	r.firstAt, r.lastAt = now, now
-	for server, s := range r.crashes {
-		if now-s.at > memory {
-			delete(r.crashes, server)
-			continue
-		}
-		r.firstAt = min(r.firstAt, s.at)
-	}
+	r.crashes[c.Server] = seen{host: c.Host, at: now, begun: c.Begun}
+	r.lastAt = now
+	maps.DeleteFunc(r.crashes, func(_ string, s seen) bool { return now-s.at > memory })
 }
 
 // record returns the record of a part, which it creates if necessary. It returns nil
@@ -134,7 +166,7 @@
 	if len(t.records) >= t.config.MaxParts && !t.evict() {
 		return nil
 	}
-	r := &record{crashes: make(map[string]seen), firstAt: now, lastAt: now}
+	r := &record{crashes: make(map[string]seen), lastAt: now}
 	t.records[part] = r
 	return r
 }
@@ -230,7 +262,7 @@
 	}
 	for i, server := range v.Servers[:min(len(v.Servers), len(v.Hosts))] {
 		if _, known := r.crashes[server]; !known {
-			r.crashes[server] = seen{host: v.Hosts[i], at: now}
+			r.crashes[server] = seen{host: v.Hosts[i], at: now, begun: true}
 		}
 	}
 	r.trials = max(r.trials, v.Trials)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -26,7 +26,7 @@
 	var all []quarantine.Verdict
 	for i := range count {
 		at := start + time.Duration(i)*interval
-		_, verdicts := table.RecordCrash(quarantine.Crash{Server: fmt.Sprintf("i-%d/%v", i, start), Host: "h1", Parts: parts}, at)
+		_, verdicts := table.RecordCrash(quarantine.Crash{Server: fmt.Sprintf("i-%d/%v", i, start), Host: "h1", Begun: true, Parts: parts}, at)
 		all = append(all, verdicts...)
 	}
 	return all
@@ -67,6 +67,26 @@
 	g.Expect(crashSeveral(table, 5, time.Minute, time.Second, "shared")).To(HaveLen(1), "the answer is too long ago")
 }
 
+// TestPromptsThatOnlyWaitedAreNoSuspects guards against sound prompts that are blamed
+// for the crashes of servers at which they waited beside a bad one.
+func TestPromptsThatOnlyWaitedAreNoSuspects(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, quarantine.DefaultConfig())
+	for i := range 5 {
+		at, server := time.Duration(i)*time.Second, fmt.Sprint("i-", i)
+		table.RecordCrash(quarantine.Crash{Server: server, Host: "h1", Begun: true, Parts: []string{"bad"}}, at)
+		table.RecordCrash(quarantine.Crash{Server: server, Host: "h2", Parts: []string{"rare"}}, at)
+	}
+	g.Expect(matches(table, 5*time.Second, "bad")).To(BeTrue())
+	g.Expect(matches(table, 5*time.Second, "rare")).To(BeFalse())
+	var verdicts []quarantine.Verdict
+	for i := range 3 {
+		_, more := table.RecordCrash(quarantine.Crash{Server: fmt.Sprint("i-1", i), Host: "h1", Parts: []string{"early"}}, time.Duration(10+i)*time.Second)
+		verdicts = append(verdicts, more...)
+	}
+	g.Expect(verdicts).To(HaveLen(1), "servers that crash before any answer begins")
+}
+
 // TestPartsThatComeTogetherAreToldApartByOneOfThem guards against a quarantine that
 // takes along the sound parts of the prompts that crashed servers.
 func TestPartsThatComeTogetherAreToldApartByOneOfThem(t *testing.T) {
