--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -31,6 +31,7 @@
 }{
 	{1, "never failed"},
 	{102, "the stand-in counted requests that it refused as run"},
+	{1003, "prompts with one part crashed server after server"},
 }
 
 // TestShortSoak runs soak tests with fixed seeds. The history and the logs of one
