--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -6,6 +6,8 @@
 // hardly begun to answer, and leaves out the parts that it has seen in sound
 // answers lately. A part that is left after crashes of several servers at different
 // moments is quarantined on all hosts: requests with it are refused.
+// Beside a prompt whose answer had begun, those that only waited at the server are no
+// suspects.
 //
 // Parts that only ever come together can't be told apart by crashes. A quarantine
 // therefore holds only for prompts that have all of them, until a prompt with some
