Log the content of requests whose server broke the connection

Event 7002 now has field content, a hash of target, organisation and body, where the server broke the connection. Nothing is hashed for other requests.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,11 +102,15 @@
 		x.handleCallerLeft(outcome.err)
 		return true
 	}
-	logevent.RoutedAttemptFailed.Emit(x.logger, log.Fields{
+	fields := log.Fields{
 		"request": x.inbound.request.ID, "attempt": send.Attempt, "upstream": send.Members[0].Upstream, "class": string(outcome.class),
 		"culprit": outcome.failedAddress, "status": outcome.status, "error": errorText(outcome.err),
 		"after_ms": (x.clock.Now() - a.startedAt).Milliseconds(), "pieces": x.eventsSent,
-	})
+	}
+	if outcome.connectionBroken {
+		fields["content"] = x.inbound.contentName(x.r)
+	}
+	logevent.RoutedAttemptFailed.Emit(x.logger, fields)
 	x.metrics.Count("gateway_attempts_failed_total", 1, "class", string(outcome.class))
 	x.control.post(balance.AttemptFailed{
 		RequestNumber: x.requestNumber, Attempt: send.Attempt, Class: outcome.class, FailedAddress: outcome.failedAddress, PartlyDelivered: x.responseStarted,
