Keep requests that crash servers again and again away from the others

Cause: a crash could be blamed on a part of a prompt only. A call has no parts, and the request as a whole had no place in the record, so each repeat of the host and each new request of the caller took a server that looked healthy for not having been tried.

Change: the content of a request (method, host, target, organisation, body) is one more name that a crash is blamed on, in the same table as the parts, with the same evidence, news between hosts, trials and bounds. It is hashed only while a crash is remembered. A part and a content that only come together hold for both together, so a session is not refused for one request of it. Two rules are new for all names: a verdict is withdrawn, or not reached, if another one explains all its crashes and more; a server that crashes again counts as another moment, so that three servers that crash within 150 ms suffice once one of them has crashed again. A trial counts for all verdicts that hold.

Why it works: the third crash, at whatever host, convicts the content on all hosts, and everything that is sent asks the table first.

--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -21,6 +21,10 @@
 	Service string
 	// SharedParts names the parts of the prompt that other requests may have too.
 	SharedParts []string
+	// Content returns the name of the request's content; see quarantine.ContentName. It
+	// returns the same each time, is called only while crashes are remembered, and may
+	// be nil.
+	Content func() string
 	// PromptTokens is the length of the prompt, AnswerTokens the length that is
 	// planned for the answer. PromptTokens is 0 if the request has no prompt.
 	PromptTokens int
--- a/internal/balance/quarantine.go
+++ b/internal/balance/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutline/chestnutline/internal/quarantine"
+	"github.com/chestnutline/chestnutline/internal/route"
 )
 
 const (
@@ -29,8 +30,8 @@
 	answeringHosts = 4
 )
 
-// QuarantineReport is what one host tells the others about parts of prompts. Hosts
-// exchange it under the names of its fields.
+// QuarantineReport is what one host tells the others about parts of prompts and contents
+// of requests. Hosts exchange it under the names of its fields.
 type QuarantineReport struct {
 	Crashes  []quarantine.Crash
 	Verdicts []quarantine.Verdict
@@ -51,29 +52,64 @@
 	begunAt time.Duration
 }
 
-// QuarantinedParts returns the number of quarantined parts of prompts. The gateway
-// exports it as a gauge.
+// QuarantinedParts returns the number of quarantined parts of prompts and contents of
+// requests. The gateway exports it as a gauge.
 func (c *Core) QuarantinedParts() int { return c.quarantine.Len() }
 
-// isQuarantined reports whether a quarantine holds for the prompt of a request.
+// contentNames returns the name of the request's content, as a list that is empty if it
+// has none.
+func (r *request) contentNames() []string {
+	if r.Content == nil {
+		return nil
+	}
+	if r.content == "" {
+		r.content = r.Content()
+	}
+	return []string{r.content}
+}
+
+// namesOf returns the names by which a request may be blamed: the shared parts of its
+// prompt and, while crashes are remembered, its content.
+func (c *Core) namesOf(r *request) []string {
+	if !c.quarantine.Active() {
+		return r.SharedParts
+	}
+	return slices.Concat(r.SharedParts, r.contentNames())
+}
+
+// quarantinesOf returns the verdicts that hold for a request, and the time until the
+// next trial, which is when the holds of all of them are over.
+func (c *Core) quarantinesOf(r *request, now time.Duration) (verdicts []quarantine.Verdict, holdLeft time.Duration) {
+	if c.quarantine.Len() == 0 {
+		return nil, 0
+	}
+	verdicts = c.quarantine.Match(c.namesOf(r), now)
+	for _, v := range verdicts {
+		holdLeft = max(holdLeft, v.HoldLeft)
+	}
+	return verdicts, holdLeft
+}
+
+// isQuarantined reports whether a quarantine holds for a request.
 func (c *Core) isQuarantined(r *request, now time.Duration) bool {
-	_, quarantined := c.quarantine.Match(r.SharedParts, now)
-	return quarantined
+	verdicts, _ := c.quarantinesOf(r, now)
+	return len(verdicts) > 0
 }
 
-// beginTrial lets a request through although its prompt is quarantined, if the hold
-// is over and this host is responsible for the trials of the part.
+// beginTrial lets a request through although it is quarantined, if the hold is over and
+// this host is responsible for the trials. It counts for all verdicts that hold.
 func (c *Core) beginTrial(r *request, now time.Duration) bool {
-	v, quarantined := c.quarantine.Match(r.SharedParts, now)
-	if !quarantined || v.HoldLeft > 0 || !c.isTrialHost(v.Part, now) {
+	verdicts, holdLeft := c.quarantinesOf(r, now)
+	if len(verdicts) == 0 || holdLeft > 0 || !c.isTrialHost(verdicts[0].Part, now) {
 		return false
 	}
-	v, r.isTrial = c.quarantine.BeginTrial(v.Part, now)
-	if r.isTrial {
-		c.emit(QuarantineChanged{State: QuarantineTrial, Verdict: v, RequestID: r.ID})
-		c.broadcastQuarantine(QuarantineReport{Verdicts: []quarantine.Verdict{v}})
+	r.isTrial = true
+	for i := range verdicts {
+		verdicts[i], _ = c.quarantine.BeginTrial(verdicts[i].Part, now)
+		c.emit(QuarantineChanged{State: QuarantineTrial, Verdict: verdicts[i], RequestID: r.ID})
 	}
-	return r.isTrial
+	c.broadcastQuarantine(QuarantineReport{Verdicts: verdicts})
+	return true
 }
 
 // isTrialHost reports whether this host comes first, among the hosts that it hears
@@ -89,21 +125,24 @@
 }
 
 // recordCrash records that an upstream broke its connection for a request, after the
-// header of its answer or before. It says nothing about the prompt if the answer had
+// header of its answer or before. It says nothing about the request if the answer had
 // been under way for some time, or if there was no time to work on it.
 func (c *Core) recordCrash(r *request, u *upstream, begun bool, now time.Duration) {
 	old := r.firstPieceAt > 0 && now-r.firstPieceAt > youngAnswerTime
-	untouched := !begun && now-r.sentAt < minUnansweredTime
-	if old || untouched || len(r.SharedParts) == 0 {
+	streamBegun := begun && r.Route.Kind == route.Stream
+	untouched := !streamBegun && now-r.sentAt < minUnansweredTime
+	names := slices.Concat(r.SharedParts, r.contentNames())
+	if old || untouched || len(names) == 0 {
 		return
 	}
-	crash, verdicts := c.quarantine.RecordCrash(quarantine.Crash{
-		Server: fmt.Sprintf("%s/%d", u.ID, u.Incarnation), Host: c.config.Host, Begun: begun, Parts: r.SharedParts,
+	crash, verdicts, withdrawn := c.quarantine.RecordCrash(quarantine.Crash{
+		Server: fmt.Sprintf("%s/%d", u.ID, u.Incarnation), Host: c.config.Host, Begun: begun, Parts: names,
 	}, now)
 	if len(crash.Parts) > 0 {
 		c.broadcastQuarantine(QuarantineReport{Crashes: []quarantine.Crash{crash}})
 	}
 	c.reportVerdicts(verdicts)
+	c.reportReleased(withdrawn, "")
 }
 
 // reportVerdicts emits the verdicts that this host has reached. The other hosts
@@ -116,16 +155,16 @@
 
 // recordAnswerBegun notes the first piece of an answer.
 func (c *Core) recordAnswerBegun(r *request, now time.Duration) {
-	if r.firstPieceAt > 0 || len(r.SharedParts) == 0 {
+	if r.firstPieceAt > 0 || r.Route.Kind != route.Stream {
 		return
 	}
 	r.firstPieceAt = now
 	c.answering = append(c.answering, answeringAttempt{request: r, attempt: r.attempt, begunAt: now})
 }
 
-// recordSoundParts records that the prompt of a request is being answered, or was.
-func (c *Core) recordSoundParts(r *request, now time.Duration) {
-	cleared, released := c.quarantine.RecordSound(r.SharedParts, now)
+// recordSound records that a request with these names is being answered, or was.
+func (c *Core) recordSound(r *request, names []string, now time.Duration) {
+	cleared, released := c.quarantine.RecordSound(names, now)
 	c.reportReleased(released, r.ID)
 	c.broadcastQuarantine(QuarantineReport{Sound: cleared})
 }
@@ -144,7 +183,7 @@
 		begun := c.answering[0]
 		c.answering = c.answering[1:]
 		if c.requestOfAttempt(begun.request.RequestNumber, begun.attempt) == begun.request {
-			c.recordSoundParts(begun.request, now)
+			c.recordSound(begun.request, c.namesOf(begun.request), now)
 		}
 	}
 	if due := c.quarantine.Due(now); len(due) > 0 {
@@ -156,8 +195,9 @@
 func (c *Core) receiveQuarantineReport(report QuarantineReport, now time.Duration) {
 	var answer QuarantineReport
 	for _, crash := range report.Crashes {
-		suspected, verdicts := c.quarantine.RecordCrash(crash, now)
+		suspected, verdicts, withdrawn := c.quarantine.RecordCrash(crash, now)
 		c.reportVerdicts(verdicts)
+		c.reportReleased(withdrawn, "")
 		for _, part := range crash.Parts {
 			if !slices.Contains(suspected.Parts, part) {
 				answer.Sound = append(answer.Sound, part)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -135,8 +135,8 @@
 		RequestNumber: r.RequestNumber, Code: code, RetryAfter: c.retryAfter(r, code, now),
 		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting),
 	}
-	if v, quarantined := c.quarantine.Match(r.SharedParts, now); quarantined && code == CodePromptQuarantined {
-		refusal.QuarantinedPart, refusal.RetryAfter = v.Part, max(minRetryAfter, v.HoldLeft)
+	if verdicts, holdLeft := c.quarantinesOf(r, now); len(verdicts) > 0 && code == CodePromptQuarantined {
+		refusal.QuarantinedPart, refusal.RetryAfter = verdicts[0].Part, max(minRetryAfter, holdLeft)
 	}
 	c.emit(refusal)
 }
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -61,6 +61,8 @@
 	pendingPlan *plan
 	// firstPieceAt is when the answer of the current attempt began; 0 before.
 	firstPieceAt time.Duration
+	// content is the name of the request's content, once it was needed.
+	content string
 	// isTrial is set when the request was let through in spite of a quarantine.
 	isTrial bool
 }
@@ -297,8 +299,11 @@
 	if r == nil {
 		return
 	}
-	if e.Success {
-		c.recordSoundParts(r, now)
+	switch {
+	case e.Success:
+		c.recordSound(r, c.namesOf(r), now)
+	case c.quarantine.Active():
+		c.recordSound(r, r.contentNames(), now)
 	}
 	if r.forwardedTo != nil {
 		c.endForward(r)
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnutline/chestnutline/internal/quarantine"
 	"github.com/chestnutline/chestnutline/internal/route"
 )
 
@@ -67,12 +68,16 @@
 	answerTokens int
 	// leaderLimited is set when the host knew a limit of the server before.
 	leaderLimited bool
-	// retried is set when the caller has been refused before.
-	retried bool
+	// retried is set when the caller has been refused before. firstNumber is the number
+	// of its first attempt.
+	retried     bool
+	firstNumber uint64
 	// origin is the request of the host that passed this one on; nil if a caller sent it.
 	origin *job
-	// parts are the shared parts of the prompt.
-	parts []string
+	// parts are the shared parts of the prompt, content names the request's content;
+	// empty for one that no other request has.
+	parts   []string
+	content string
 	// sentAt is when the caller sent the request. firstEventAt, lastEventAt and
 	// longestPause describe the stream.
 	sentAt, firstEventAt, lastEventAt, longestPause time.Duration
@@ -140,6 +145,11 @@
 	// when they did, crashingArrivals when requests with the part reached servers.
 	crashingPart              string
 	crashes, crashingArrivals []time.Duration
+	// crashingContent is the content of requests under which servers crash.
+	crashingContent string
+	// refusedAsQuarantined counts the requests under which servers do not crash that
+	// were refused because of a quarantine.
+	refusedAsQuarantined int
 	// healed is set when servers no longer crash. cutOff holds the hosts that hear
 	// nothing from the others and are not heard by them.
 	healed bool
@@ -155,6 +165,7 @@
 	route        string
 	promptTokens int
 	parts        []string
+	content      string
 	host         int
 	sentAt       time.Duration
 	delivered    bool
@@ -238,6 +249,9 @@
 		})
 	case Refuse:
 		j := sim.jobs[jobKey(host, e.RequestNumber)]
+		if e.Code == CodePromptQuarantined && !sim.crashesUnder(j) {
+			sim.refusedAsQuarantined++
+		}
 		if j.origin != nil {
 			sim.failOrigin(j, AttemptFailed{Class: FailureHostRefused, RefusedCode: e.Code, RetryAfter: e.RetryAfter})
 			return
@@ -246,14 +260,14 @@
 			sim.schedule(e.RetryAfter, func() { sim.retryRefused(j) })
 			return
 		}
-		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt, refused: true})
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, content: j.content, host: j.host, sentAt: j.sentAt, refused: true})
 	case Fail:
 		j := sim.jobs[jobKey(host, e.RequestNumber)]
 		if j.origin != nil {
 			sim.failOrigin(j, AttemptFailed{Class: FailureAnswerLost, Final: true, FinalCode: e.Code})
 			return
 		}
-		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt})
+		sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, content: j.content, host: j.host, sentAt: j.sentAt})
 	case BroadcastCutOff:
 		sim.broadcast(host, HostCutOff{Host: fmt.Sprint("h", host), CutOff: e.CutOff})
 	case BroadcastQuarantine:
@@ -301,11 +315,18 @@
 
 // sendRequest has a caller send a request to a host.
 func (sim *simulation) sendRequest(host int, r *route.Route, promptTokens, answerTokens int, parts ...string) {
+	sim.sendContent(host, r, "", promptTokens, answerTokens, parts...)
+}
+
+// sendContent has a caller send a request with the given content, which other requests
+// may have too.
+func (sim *simulation) sendContent(host int, r *route.Route, content string, promptTokens, answerTokens int, parts ...string) {
 	sim.lastNumber++
 	number := sim.lastNumber
-	sim.jobs[jobKey(host, number)] = &job{host: host, number: number, route: r, promptTokens: promptTokens, answerTokens: answerTokens, sentAt: sim.now, eventsLeft: answerTokens/sim.engine.StepsPerPass + 1, parts: parts}
+	j := &job{host: host, number: number, firstNumber: number, route: r, promptTokens: promptTokens, answerTokens: answerTokens, sentAt: sim.now, eventsLeft: answerTokens/sim.engine.StepsPerPass + 1, parts: parts, content: content}
+	sim.jobs[jobKey(host, number)] = j
 	sim.step(host, Arrived{
-		RequestNumber: number, ID: fmt.Sprint(number), Route: r, Service: "llm", SharedParts: parts,
+		RequestNumber: number, ID: fmt.Sprint(number), Route: r, Service: "llm", SharedParts: parts, Content: contentOf(j),
 		PromptTokens: promptTokens, AnswerTokens: answerTokens, Deadline: sim.now + r.Timeout,
 	})
 	sim.schedule(r.Timeout, func() { sim.timeOut(host, number) })
@@ -320,7 +341,7 @@
 	sim.jobs[jobKey(host, sim.lastNumber)] = &retry
 	timeLeft := j.sentAt + j.route.Timeout - sim.now
 	sim.step(host, Arrived{
-		RequestNumber: sim.lastNumber, ID: fmt.Sprint(sim.lastNumber), Route: j.route, Service: "llm", SharedParts: j.parts,
+		RequestNumber: sim.lastNumber, ID: fmt.Sprint(sim.lastNumber), Route: j.route, Service: "llm", SharedParts: j.parts, Content: contentOf(j),
 		PromptTokens: j.promptTokens, AnswerTokens: j.answerTokens, Deadline: sim.now + timeLeft,
 	})
 	number := sim.lastNumber
@@ -333,7 +354,7 @@
 		return
 	}
 	j := sim.jobs[jobKey(host, number)]
-	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: j.host, sentAt: j.sentAt})
+	sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, content: j.content, host: j.host, sentAt: j.sentAt})
 	sim.step(host, CallerGone{RequestNumber: number})
 }
 
@@ -351,11 +372,14 @@
 		return
 	}
 	parts := len(s.Members)
+	if original.promptTokens == 0 {
+		parts = 0
+	}
 	for i, m := range s.Members {
 		j := &job{
 			host: host, number: s.RequestNumber, attempt: s.Attempt, route: original.route, promptTokens: original.promptTokens,
-			prefillLeft: prefillTime(sim.engine, original.promptTokens, parts), partsLeft: &parts, leaderServer: sim.servers[s.Members[0].Upstream], isLeader: i == 0, sentAt: original.sentAt, eventsLeft: original.eventsLeft,
-			leaderLimited: s.LeaderLimited, parts: original.parts, answerTokens: original.answerTokens,
+			prefillLeft: prefillTime(sim.engine, original.promptTokens, len(s.Members)), partsLeft: &parts, leaderServer: sim.servers[s.Members[0].Upstream], isLeader: i == 0, sentAt: original.sentAt, eventsLeft: original.eventsLeft,
+			leaderLimited: s.LeaderLimited, parts: original.parts, content: original.content, answerTokens: original.answerTokens,
 		}
 		sim.schedule(5*time.Millisecond, func() {
 			server := sim.servers[m.Upstream]
@@ -365,7 +389,7 @@
 				}
 				return
 			}
-			if j.isLeader && sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
+			if j.isLeader && sim.crashesUnder(j) {
 				sim.crashingArrivals = append(sim.crashingArrivals, sim.now)
 			}
 			server.arrivals = append(server.arrivals, sim.now)
@@ -475,7 +499,7 @@
 		return
 	}
 	for _, j := range s.decoders {
-		if !sim.healed && sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) {
+		if !sim.healed && sim.crashesUnder(j) {
 			sim.crash(s, 3*time.Second)
 			return
 		}
@@ -505,7 +529,7 @@
 			if origin := sim.originOf(j); origin != nil {
 				host = origin.host
 			}
-			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, host: host, sentAt: j.sentAt, delivered: true, inTime: inTime})
+			sim.results = append(sim.results, result{route: j.route.Name, promptTokens: j.promptTokens, parts: j.parts, content: j.content, host: host, sentAt: j.sentAt, delivered: true, inTime: inTime})
 			sim.step(j.host, Finished{RequestNumber: j.number, Attempt: j.attempt, Success: true})
 			if origin := sim.originOf(j); origin != nil {
 				sim.step(origin.host, Finished{RequestNumber: origin.number, Attempt: origin.attempt, Success: true})
@@ -515,6 +539,28 @@
 	sim.startPass(s)
 }
 
+// crashesUnder reports whether servers crash when they answer a job.
+func (sim *simulation) crashesUnder(j *job) bool {
+	return sim.crashingPart != "" && slices.Contains(j.parts, sim.crashingPart) || sim.crashingContent != "" && j.content == sim.crashingContent
+}
+
+// contentOf returns what names the content of a job's request.
+func contentOf(j *job) func() string {
+	name := j.content
+	if name == "" {
+		name = fmt.Sprint("of ", j.originalNumber())
+	}
+	return func() string { return quarantine.ContentName([]byte(name)) }
+}
+
+// originalNumber returns the number of the request with which its caller began.
+func (j *job) originalNumber() uint64 {
+	if j.origin != nil {
+		return j.origin.originalNumber()
+	}
+	return j.firstNumber
+}
+
 // connectDelay is the time that a connection takes, or takes to be refused.
 const connectDelay = 10 * time.Millisecond
 
@@ -531,7 +577,7 @@
 		origin.attempt = s.Attempt
 		sim.jobs[jobKey(target, passedOn.number)] = &passedOn
 		sim.step(target, Arrived{
-			RequestNumber: passedOn.number, ID: fmt.Sprint(passedOn.number), Route: origin.route, Service: "llm", SharedParts: origin.parts,
+			RequestNumber: passedOn.number, ID: fmt.Sprint(passedOn.number), Route: origin.route, Service: "llm", SharedParts: origin.parts, Content: contentOf(&passedOn),
 			PromptTokens: origin.promptTokens, AnswerTokens: origin.answerTokens, Deadline: s.Deadline, Forwarded: true, PriorRuns: s.PriorRuns,
 		})
 	})
@@ -561,7 +607,7 @@
 	for _, j := range lost {
 		if j.isLeader {
 			sim.schedule(5*time.Millisecond, func() {
-				sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureAnswerLost, ConnectionBroken: true, AnswerBegun: slices.Contains(decoding, j)})
+				sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureAnswerLost, ConnectionBroken: true, AnswerBegun: j.route.Kind == route.Stream && slices.Contains(decoding, j)})
 			})
 		}
 	}
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -3,8 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"net/http"
+
+	"github.com/chestnutline/chestnutline/internal/quarantine"
 )
 
 // contentHashBytes is the number of bytes of the SHA-256 hash in a content name.
@@ -23,5 +24,5 @@
 		hash.Write([]byte(field))
 	}
 	hash.Write(in.body)
-	return hex.EncodeToString(hash.Sum(nil)[:contentHashBytes])
+	return quarantine.ContentName(hash.Sum(nil)[:contentHashBytes])
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -251,7 +251,7 @@
 	}
 	return balance.Arrived{
 		RequestNumber: x.requestNumber, ID: request.ID, Route: x.inbound.route, Service: x.inbound.route.ChooseService(request.ID),
-		SharedParts: request.SharedParts, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
+		SharedParts: request.SharedParts, Content: func() string { return x.inbound.contentName(x.r) }, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
 		Priority: x.inbound.priority, Deadline: x.inbound.deadline,
 		Forwarded: x.inbound.forwarded, PriorRuns: x.inbound.priorRuns,
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -16,7 +16,7 @@
 	// request may just have waited there.
 	Begun bool
 	// Parts are the shared parts of the request's prompt that have not been seen in
-	// a sound answer lately.
+	// a sound answer lately, and the name of its content likewise; see ContentName.
 	Parts []string
 }
 
@@ -53,12 +53,13 @@
 	metAt, announceAt time.Duration
 }
 
-// seen tells which host saw a crash, when it was reported here, and whether the answer
-// to a prompt with the part had begun.
+// seen tells which host saw a crash, when it was reported here, when the same server was
+// last reported to have crashed again, and whether the answer to a prompt with the part
+// had begun.
 type seen struct {
-	host  string
-	at    time.Duration
-	begun bool
+	host       string
+	at, lastAt time.Duration
+	begun      bool
 }
 
 // Table holds what one host knows about the parts of prompts. It is not safe for
@@ -68,8 +69,9 @@
 	random  *rand.Rand
 	sound   soundParts
 	records map[string]*record
-	// explained holds when a server crashed under an answer that had begun, by server.
-	// What only waited there is then no suspect.
+	// explained holds when a server crashed under an answer that had begun, or under
+	// what had been quarantined before, by server. What only waited there is then no
+	// suspect.
 	explained map[string]time.Duration
 	// convicted is the number of records that are convicted.
 	convicted int
@@ -87,13 +89,18 @@
 	}, nil
 }
 
-// Len returns the number of quarantined parts.
+// Len returns the number of quarantined parts and contents.
 func (t *Table) Len() int { return t.convicted }
 
+// Active reports whether any crash is remembered. Until then there is no use in naming
+// the content of requests.
+func (t *Table) Active() bool { return len(t.records) > 0 }
+
 // RecordCrash records a crash that this host or another one saw. It returns the
-// crash without the parts that were seen in sound answers lately, and the verdicts
-// to which it led.
-func (t *Table) RecordCrash(c Crash, now time.Duration) (Crash, []Verdict) {
+// crash without the parts that were seen in sound answers lately, the verdicts
+// to which it led, and the parts whose verdicts are withdrawn since another one explains
+// their crashes.
+func (t *Table) RecordCrash(c Crash, now time.Duration) (_ Crash, verdicts []Verdict, withdrawn []string) {
 	var suspects []string
 	for _, part := range c.Parts {
 		if !t.sound.recent(part, now) && !slices.Contains(suspects, part) {
@@ -101,25 +108,67 @@
 		}
 	}
 	c.Parts = suspects
-	if c.Begun && len(suspects) > 0 {
+	if c.Begun && !onlyContent(suspects) || slices.ContainsFunc(suspects, t.isConvicted) {
 		maps.DeleteFunc(t.explained, func(_ string, at time.Duration) bool { return now-at > t.config.CrashMemory })
 		t.explained[c.Server] = now
 	}
-	var verdicts []Verdict
 	for _, part := range suspects {
-		r := t.record(part, now)
-		if r == nil {
-			continue
+		if r := t.record(part, now); r != nil {
+			r.add(c, now, t.config.CrashMemory)
 		}
-		r.add(c, now, t.config.CrashMemory)
-		if !r.convicted && t.suspicious(r) {
+	}
+	for _, part := range suspects {
+		if r := t.records[part]; r != nil && !r.convicted && t.suspicious(r) && !t.explainedByOther(r) {
 			r.convicted, r.holdUntil, r.metAt = true, now+t.config.hold(0), now
 			r.announceAt = t.nextAnnouncement(now)
 			t.convicted++
 			verdicts = append(verdicts, r.verdict(part, now))
 		}
 	}
-	return c, verdicts
+	return c, verdicts, t.withdrawExplained()
+}
+
+// explainedByOther reports whether a quarantined part explains all crashes under this
+// one, and more: the requests with this one were at those servers by chance.
+func (t *Table) explainedByOther(r *record) bool {
+	if t.convicted == 0 {
+		return false
+	}
+	for _, other := range t.records {
+		if other.convicted && len(other.crashes) > len(r.crashes) && containsKeys(other.crashes, r.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// withdrawExplained ends the quarantine of parts whose crashes another one explains, and
+// returns them.
+func (t *Table) withdrawExplained() []string {
+	var withdrawn []string
+	if t.convicted < 2 {
+		return nil
+	}
+	for _, part := range slices.Sorted(maps.Keys(t.records)) {
+		if r := t.records[part]; r.convicted && t.explainedByOther(r) {
+			r.convicted, r.trials = false, 0
+			t.convicted--
+			withdrawn = append(withdrawn, part)
+		}
+	}
+	return withdrawn
+}
+
+// onlyContent reports whether no suspect is a part of a prompt. The content of every
+// request is a suspect at first, so a suspected content explains no crash.
+func onlyContent(suspects []string) bool {
+	return !slices.ContainsFunc(suspects, func(name string) bool { return !isContent(name) })
+}
+
+// isConvicted reports whether a part or a content is quarantined.
+func (t *Table) isConvicted(name string) bool {
+	r := t.records[name]
+	return r != nil && r.convicted
 }
 
 // suspicious reports whether enough servers have crashed under a part, at moments that
@@ -135,7 +184,7 @@
 			first, last = s.at, s.at
 		}
 		count++
-		first, last = min(first, s.at), max(last, s.at)
+		first, last = min(first, s.at), max(last, s.lastAt)
 	}
 	return count >= t.config.MinCrashes && last-first >= t.config.MinSpan
 }
@@ -148,11 +197,11 @@
 		r.together = intersect(r.together, c.Parts)
 	}
 	if known, ok := r.crashes[c.Server]; ok {
-		known.begun = known.begun || c.Begun
+		known.begun, known.lastAt = known.begun || c.Begun, now
 		r.crashes[c.Server] = known
 		return
 	}
-	r.crashes[c.Server] = seen{host: c.Host, at: now, begun: c.Begun}
+	r.crashes[c.Server] = seen{host: c.Host, at: now, lastAt: now, begun: c.Begun}
 	r.lastAt = now
 	maps.DeleteFunc(r.crashes, func(_ string, s seen) bool { return now-s.at > memory })
 }
@@ -215,19 +264,20 @@
 	delete(t.records, part)
 }
 
-// Match returns the verdict that holds for a prompt with the given parts, if there
-// is one.
-func (t *Table) Match(parts []string, now time.Duration) (Verdict, bool) {
+// Match returns the verdicts that hold for a request with the given parts and content,
+// in an order that is the same on all hosts.
+func (t *Table) Match(parts []string, now time.Duration) []Verdict {
 	if t.convicted == 0 {
-		return Verdict{}, false
+		return nil
 	}
-	for _, part := range parts {
+	var verdicts []Verdict
+	for _, part := range slices.Compact(slices.Sorted(slices.Values(parts))) {
 		if r := t.records[part]; r != nil && r.convicted && containsAll(parts, r.together) {
 			r.metAt = now
-			return r.verdict(part, now), true
+			verdicts = append(verdicts, r.verdict(part, now))
 		}
 	}
-	return Verdict{}, false
+	return verdicts
 }
 
 // BeginTrial lets one request with a quarantined part through, and begins the next
@@ -253,18 +303,20 @@
 	if r == nil {
 		return true
 	}
-	switch {
-	case !r.convicted:
-		t.convicted++
-		r.convicted, r.together = true, slices.Clone(v.Together)
-	default:
-		r.together = intersect(r.together, v.Together)
-	}
 	for i, server := range v.Servers[:min(len(v.Servers), len(v.Hosts))] {
 		if _, known := r.crashes[server]; !known {
-			r.crashes[server] = seen{host: v.Hosts[i], at: now, begun: true}
+			r.crashes[server] = seen{host: v.Hosts[i], at: now, lastAt: now, begun: true}
 		}
 	}
+	switch {
+	case r.convicted:
+		r.together = intersect(r.together, v.Together)
+	case t.explainedByOther(r):
+		return true
+	default:
+		t.convicted++
+		r.convicted, r.together = true, slices.Clone(v.Together)
+	}
 	r.trials = max(r.trials, v.Trials)
 	r.holdUntil = max(r.holdUntil, now+min(v.HoldLeft, t.config.MaxHold))
 	r.metAt = max(r.metAt, now-v.Idle)
@@ -325,6 +377,16 @@
 	return slices.DeleteFunc(slices.Clone(a), func(element string) bool { return !slices.Contains(b, element) })
 }
 
+// containsKeys reports whether all keys of wanted are in m.
+func containsKeys(m, wanted map[string]seen) bool {
+	for key := range wanted {
+		if _, ok := m[key]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // containsAll reports whether all elements of wanted are in list.
 func containsAll(list, wanted []string) bool {
 	return !slices.ContainsFunc(wanted, func(element string) bool { return !slices.Contains(list, element) })
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -26,15 +26,14 @@
 	var all []quarantine.Verdict
 	for i := range count {
 		at := start + time.Duration(i)*interval
-		_, verdicts := table.RecordCrash(quarantine.Crash{Server: fmt.Sprintf("i-%d/%v", i, start), Host: "h1", Begun: true, Parts: parts}, at)
+		_, verdicts, _ := table.RecordCrash(quarantine.Crash{Server: fmt.Sprintf("i-%d/%v", i, start), Host: "h1", Begun: true, Parts: parts}, at)
 		all = append(all, verdicts...)
 	}
 	return all
 }
 
 func matches(table *quarantine.Table, now time.Duration, parts ...string) bool {
-	_, matched := table.Match(parts, now)
-	return matched
+	return len(table.Match(parts, now)) > 0
 }
 
 func TestPartIsQuarantinedAfterCrashesOfDifferentServers(t *testing.T) {
@@ -81,7 +80,7 @@
 	g.Expect(matches(table, 5*time.Second, "rare")).To(BeFalse())
 	var verdicts []quarantine.Verdict
 	for i := range 3 {
-		_, more := table.RecordCrash(quarantine.Crash{Server: fmt.Sprint("i-1", i), Host: "h1", Parts: []string{"early"}}, time.Duration(10+i)*time.Second)
+		_, more, _ := table.RecordCrash(quarantine.Crash{Server: fmt.Sprint("i-1", i), Host: "h1", Parts: []string{"early"}}, time.Duration(10+i)*time.Second)
 		verdicts = append(verdicts, more...)
 	}
 	g.Expect(verdicts).To(HaveLen(1), "servers that crash before any answer begins")
@@ -162,3 +161,47 @@
 	_, err := quarantine.New(quarantine.Config{MinCrashes: 1}, rand.New(rand.NewPCG(1, 1)))
 	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("MinCrashes: must be 2 or more")))
 }
+
+// TestRequestThatOnlySharedTheServersIsReleased guards against a sound request that stays
+// quarantined since it was at servers which another one crashed.
+func TestRequestThatOnlySharedTheServersIsReleased(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, quarantine.DefaultConfig())
+	bad, sound := quarantine.ContentName([]byte("bad")), quarantine.ContentName([]byte("sound"))
+	var withdrawn []string
+	for i := range 4 {
+		at, server := time.Duration(i)*100*time.Millisecond, fmt.Sprint("i-", i)
+		if i < 3 {
+			table.RecordCrash(quarantine.Crash{Server: server, Host: "h1", Parts: []string{sound}}, at)
+		}
+		_, _, more := table.RecordCrash(quarantine.Crash{Server: server, Host: "h2", Parts: []string{bad}}, at)
+		withdrawn = append(withdrawn, more...)
+	}
+	g.Expect(withdrawn).To(Equal([]string{sound}))
+	g.Expect(matches(table, time.Second, bad)).To(BeTrue())
+	g.Expect(matches(table, time.Second, sound)).To(BeFalse())
+	crashSeveral(table, 1, time.Second, 0, sound)
+	g.Expect(matches(table, 2*time.Second, sound)).To(BeTrue(), "it crashes a server by itself")
+}
+
+// TestRepeatedPromptDoesNotBlameTheSoundOnesThatShareItsParts guards against a verdict on
+// a part of which only one request, sent again and again, crashes servers.
+func TestRepeatedPromptDoesNotBlameTheSoundOnesThatShareItsParts(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, quarantine.DefaultConfig())
+	content := quarantine.ContentName([]byte("bad"))
+	crashSeveral(table, 3, 0, time.Second, "session", content)
+	g.Expect(matches(table, 3*time.Second, "session", content)).To(BeTrue())
+	g.Expect(matches(table, 3*time.Second, "session", quarantine.ContentName([]byte("other")))).To(BeFalse())
+}
+
+// TestServersThatCrashAgainCountAsSeveralMoments guards against a service of few servers,
+// all of which crash within a moment, again and again.
+func TestServersThatCrashAgainCountAsSeveralMoments(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, quarantine.DefaultConfig())
+	content := quarantine.ContentName([]byte("bad"))
+	g.Expect(crashSeveral(table, 3, 0, 10*time.Millisecond, content)).To(BeEmpty())
+	_, verdicts, _ := table.RecordCrash(quarantine.Crash{Server: "i-0/0s", Host: "h1", Parts: []string{content}}, 3*time.Second)
+	g.Expect(verdicts).To(HaveLen(1))
+}
