--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,8 +63,10 @@
 	// finalCode the reason for which it gave up on a request that may have run.
 	refusedCode, finalCode balance.ErrorCode
 	retryAfter             time.Duration
-	status                 int
-	err                    error
+	// restTime is how long the upstream wants no more requests, with a refusal.
+	restTime time.Duration
+	status   int
+	err      error
 }
 
 // run sends the request to the upstream and forwards its answer to the caller.
@@ -190,7 +192,7 @@
 	case head.ServerReplaced:
 		return outcome{class: balance.FailureServerReplaced, status: head.Status}
 	case head.NotExecuted:
-		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper}
+		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper, restTime: head.RestTime}
 	case head.Status >= http.StatusInternalServerError:
 		return a.bufferFailure(response, head)
 	default:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,6 +110,9 @@
 	if outcome.connectionBroken {
 		fields["content"] = x.inbound.contentName(x.r)
 	}
+	if outcome.restTime > 0 {
+		fields["rest_ms"] = outcome.restTime.Milliseconds()
+	}
 	logevent.RoutedAttemptFailed.Emit(x.logger, fields)
 	x.metrics.Count("gateway_attempts_failed_total", 1, "class", string(outcome.class))
 	x.control.post(balance.AttemptFailed{
--- a/internal/logevent/gateway.go
+++ b/internal/logevent/gateway.go
@@ -6,7 +6,7 @@
 var (
 	RoutedSent              = declare(7000, log.InfoLevel, "request sent", "A request was sent to an upstream; the fields contain the values on which the choice was based. Field parts names the parts of the prompt that other requests may share.")
 	RoutedDelivered         = declare(7001, log.InfoLevel, "request delivered", "The complete answer was passed on to the caller.")
-	RoutedAttemptFailed     = declare(7002, log.InfoLevel, "attempt failed", "An upstream gave no complete answer; class says what is known. Another attempt, a refusal or a failure follows. Where the server broke the connection, field content names the request's target, organisation and body, equal for equal requests.")
+	RoutedAttemptFailed     = declare(7002, log.InfoLevel, "attempt failed", "An upstream gave no complete answer; class says what is known. Another attempt, a refusal or a failure follows. Where the server broke the connection, field content names the request's target, organisation and body, equal for equal requests. Field rest_ms is how long the server wants no more requests from this host.")
 	RoutedRefused           = declare(7003, log.InfoLevel, "routed request refused", "The host itself answered a request without running it; the code gives the reason.")
 	RoutedFailed            = declare(7004, log.WarnLevel, "routed request failed", "A request that may have been run got no complete answer; the failed attempts logged before give the reason.")
 	CallerLeft              = declare(7005, log.InfoLevel, "caller left", "The caller closed its connection before the answer was complete; the work for it was cancelled.")
