Give servers the rest that they ask for

Callers got answers late: a model server answered 503 with Retry-After: 3 to one host after the other, and each went on sending to it every 0.1 to 0.4 s, up to 4 requests within a rest in the users' record (2 are allowed).

A refusal kept the host away for 80 ms whatever it asked for, and the choice returned to the server, which looked the emptier the more it refused.

Change: the intake of a server, which holds the limit that it names, holds its rest too, and everything that is sent to a server asks it: first tries, repeats, members of groups, requests taken over, and prompts whose memory was being reserved meanwhile. A rest holds for one host; the others are told and expect a refusal with probability 0.5. It survives a lapse of the registration and ends with the server's run. Where all servers rest for longer than a request can wait and be in time, callers are refused at once with the first end of a rest, spread by a quarter. Bad values are counted, logged once a minute and ignored; a rest is bounded at 10 minutes.

Why it works: from the answer on, no choice of this host includes the server.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -20,6 +20,8 @@
 	// service by the service's name.
 	upstreams    map[string]*upstream
 	servicePools map[string]*servicePool
+	// departures holds what servers had said that are no longer registered, by id.
+	departures map[string]departure
 	// requests holds the host's own requests that have not ended, by request
 	// number.
 	requests map[uint64]*request
@@ -83,6 +85,7 @@
 		bootNumber:   bootNumber,
 		upstreams:    make(map[string]*upstream),
 		servicePools: make(map[string]*servicePool),
+		departures:   make(map[string]departure),
 		requests:     make(map[uint64]*request),
 		budgets:      make(map[string]*retryBudget),
 		paths:        make(map[string]*pathState),
@@ -109,10 +112,14 @@
 		c.handleCallerGone(e, now)
 	case LimitObserved:
 		c.handleLimitObserved(e, now)
+	case AnswerNotice:
+		c.handleAnswerNotice(e, now)
+	case RestReported:
+		c.handleRestReported(e, now)
 	case ReservationResult:
 		c.handleReservationResult(e, now)
 	case UpstreamsChanged:
-		c.setUpstreams(e.Upstreams)
+		c.setUpstreams(e.Upstreams, now)
 	case ServicesChanged:
 		c.setServices(e.Services)
 	case ReportReceived:
--- a/internal/balance/dump.go
+++ b/internal/balance/dump.go
@@ -38,6 +38,9 @@
 	FailureShare float64 `json:"failure_share"`
 	// AvoidedMs is how much longer the server is avoided, in milliseconds.
 	AvoidedMs int64 `json:"avoided_ms"`
+	// RestMs is how much longer the server wants no requests from this host, in
+	// milliseconds.
+	RestMs int64 `json:"rest_ms"`
 }
 
 // Dump returns a snapshot of the state at the given time, ordered by upstream
@@ -47,10 +50,10 @@
 	for _, u := range c.upstreams {
 		load := u.load()
 		d.Upstreams = append(d.Upstreams, UpstreamDump{
-			ID: u.ID, Service: u.Service, DataCentre: u.DataCentre, Leaving: u.Draining,
+			ID: u.ID, Service: u.Service, DataCentre: u.DataCentre, Leaving: !u.accepting(),
 			Requests: load.leaders, HelperParts: load.helperParts, MemoryTokens: load.memoryTokens,
 			BacklogMs: u.backlog(now).Milliseconds(), FailureShare: u.failureShare(now),
-			AvoidedMs: max(0, u.avoidUntil-now).Milliseconds(),
+			AvoidedMs: max(0, u.avoidUntil-now).Milliseconds(), RestMs: max(0, u.intake.restUntil-now).Milliseconds(),
 		})
 	}
 	sort.Slice(d.Upstreams, func(i, j int) bool { return d.Upstreams[i].ID < d.Upstreams[j].ID })
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -182,6 +182,17 @@
 	Before, PerSecond float64
 }
 
+// UpstreamResting reports that a server has asked this host for rest, and gets none of its
+// requests until that is over. The other hosts are told.
+type UpstreamResting struct {
+	// Upstream is the id of the server, Incarnation its run.
+	Upstream    string
+	Incarnation int64
+	// RequestID is the caller's name for the request that it refused.
+	RequestID string
+	RestTime  time.Duration
+}
+
 // ProbeConnection asks for a connection to a server, which is closed at once. A
 // ConnectionProbed event answers it.
 type ProbeConnection struct {
@@ -227,6 +238,7 @@
 func (BroadcastQuarantine) effect()  {}
 func (QuarantineChanged) effect()    {}
 func (UpstreamLimitChanged) effect() {}
+func (UpstreamResting) effect()      {}
 func (ReserveMemory) effect()        {}
 func (ReleaseMemory) effect()        {}
 func (Refuse) effect()               {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -70,6 +70,28 @@
 	PerSecond float64
 }
 
+// AnswerNotice reports what a server said about itself in an answer to this host, before
+// the end of the attempt is reported.
+type AnswerNotice struct {
+	RequestNumber uint64
+	Attempt       int
+	// Upstream is the id of the server that answered.
+	Upstream string
+	// RestTime is how long it wants no more requests from this host; 0 if it does not ask
+	// for rest.
+	RestTime time.Duration
+}
+
+// RestReported reports that a server has asked another host for rest. This host may send
+// to it, and expects to be refused.
+type RestReported struct {
+	Upstream string
+	// Incarnation is the run of the server, as registered.
+	Incarnation int64
+	// RestTime is the length of the rest from now on.
+	RestTime time.Duration
+}
+
 // FailureClass tells what is known about a failed attempt, in particular
 // whether the upstream may have executed the request.
 type FailureClass string
@@ -218,6 +240,8 @@
 
 func (Arrived) event()            {}
 func (LimitObserved) event()      {}
+func (AnswerNotice) event()       {}
+func (RestReported) event()       {}
 func (FirstPiece) event()         {}
 func (Finished) event()           {}
 func (AttemptFailed) event()      {}
--- a/internal/balance/intake.go
+++ b/internal/balance/intake.go
@@ -14,16 +14,23 @@
 	placeTakers = 0.5
 )
 
-// intake bounds the requests that a server gets from all hosts together while it
-// names a limit. It is a leaky bucket: each request that any host is known to begin
-// there fills it by one, and it drains at the limit's rate. Requests that other
-// hosts begin at the same moment overfill it, and are made up for later.
+// intake bounds the requests that a server gets, by what the server has said in its
+// answers. Everything that is sent to a server asks it first.
+//
+// While a server names a limit on the requests from all hosts together, the intake is a
+// leaky bucket: each request that any host is known to begin there fills it by one, and
+// it drains at the limit's rate. Requests that other hosts begin at the same moment
+// overfill it, and are made up for later. While the server rests, this host sends it
+// nothing; other hosts may.
 type intake struct {
 	// limit is the number of requests a second; 0 if the server names none.
 	limit float64
 	// level is the number of requests in the bucket at the time updatedAt.
 	level     float64
 	updatedAt time.Duration
+	// restUntil is the end of the rest that the server has asked this host for,
+	// restElsewhereUntil of the longest one that it has asked another host for.
+	restUntil, restElsewhereUntil time.Duration
 }
 
 // capacity returns the number of requests that the bucket holds.
@@ -52,21 +59,36 @@
 	}
 }
 
+// rest keeps this host away from the server for some time. A shorter rest than one asked
+// for before does not end that one.
+func (i *intake) rest(length, now time.Duration) { i.restUntil = max(i.restUntil, now+length) }
+
+// resting reports whether the server wants no requests from this host.
+func (i *intake) resting(now time.Duration) bool { return now < i.restUntil }
+
+// bindsBeyondRegistration reports whether the server has said something that holds even
+// if its registration disappears for a while.
+func (i *intake) bindsBeyondRegistration(now time.Duration) bool { return i.resting(now) }
+
 // admitsAt returns the time from which on the server may get another request, as
 // far as is known now.
 func (i *intake) admitsAt(now time.Duration) time.Duration {
+	admitsAt := max(now, i.restUntil)
 	if i.limit == 0 {
-		return now
+		return admitsAt
 	}
 	excess := max(0, i.levelAt(now)+1-i.capacity())
-	return now + time.Duration(excess/i.limit*float64(time.Second))
+	return max(admitsAt, now+time.Duration(excess/i.limit*float64(time.Second)))
 }
 
-// admits reports whether a request may be sent to an upstream under the limit that
-// it names. A request takes a free place only with a probability that falls with
+// admits reports whether a request may be sent to an upstream by what the upstream has
+// said. Under a limit, a request takes a free place only with a probability that falls with
 // the number of requests that may be looking for one, since their hosts do not
 // know of each other's choices at once. A waiting request tries once a tick.
 func (c *Core) admits(u *upstream, r *request, now time.Duration) bool {
+	if u.intake.resting(now) {
+		return false
+	}
 	if u.intake.limit == 0 {
 		return true
 	}
@@ -104,7 +126,7 @@
 	admitted := 0.0
 	for _, u := range c.servicePools[r.Service].upstreams {
 		switch {
-		case u.Draining:
+		case !u.accepting():
 		case u.intake.limit == 0:
 			return false
 		default:
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -119,7 +119,7 @@
 func (c *Core) placeServiceCall(_ *request, candidates []*upstream, now time.Duration) *plan {
 	var best *plan
 	for _, u := range candidates {
-		cost := float64(len(u.items))/float64(max(1, u.Slots)) + failureCost*u.failureShare(now)
+		cost := float64(len(u.items))/float64(max(1, u.Slots)) + failureCost*u.failureRisk(now)
 		if u.DataCentre != c.config.DataCentre {
 			cost += remoteCallCost
 		}
@@ -288,7 +288,7 @@
 	addedBacklogCost := c.costOfBacklog(u.backlog(now)+partPrefill) - c.costOfBacklog(u.backlog(now))
 	scored.cost = scored.costToOthers + addedBacklogCost
 	scored.costToOthers += addedBacklogCost * c.busyShare
-	scored.cost += failureCost * u.failureShare(now) * r.weight / float64(parts)
+	scored.cost += failureCost * u.failureRisk(now) * r.weight / float64(parts)
 	position := u.position
 	if partPrefill*time.Duration(parts) >= longPrefillTime {
 		position = 1 - u.position
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -22,7 +22,7 @@
 		c.endRequest(r, now)
 		return
 	}
-	if len(c.waiting) >= maxQueueLength || c.exceedsLimits(r, now) {
+	if len(c.waiting) >= maxQueueLength || c.exceedsLimits(r, now) || c.restsTooLong(r, now) {
 		r.lastCode = CodeOverloaded
 		c.endRequest(r, now)
 		return
@@ -107,7 +107,7 @@
 		case c.isQuarantined(r, now) && !r.isTrial:
 			r.lastCode = CodePromptQuarantined
 			c.endRequest(r, now)
-		case now > c.refusalTime(r):
+		case now > c.refusalTime(r), c.restsTooLong(r, now):
 			r.lastCode = CodeOverloaded
 			c.endRequest(r, now)
 		case c.isCutOffFrom(r.Service) && c.allUnreachable(r, now):
@@ -146,7 +146,8 @@
 // when the first server has finished its prefill backlog and may get another
 // request by the limit that it names, and not sooner than the time for which this
 // request has waited. The time for which there was no capacity is the best estimate
-// of how long there will be none.
+// of how long there will be none. While all servers rest, it is a while after the first
+// of them ends its rest, so that callers do not return at the same moment.
 func (c *Core) retryAfter(r *request, code ErrorCode, now time.Duration) time.Duration {
 	switch code {
 	case CodePromptTooLarge, CodeTooLate:
@@ -156,10 +157,14 @@
 	case CodeUpstreamsUnreachable:
 		return minRetryAfter
 	}
+	if end, allRest := c.restEnd(r.Service, now); allRest {
+		wait := max(minRetryAfter, end-now)
+		return wait + time.Duration(restSpread*c.random.Float64()*float64(wait))
+	}
 	shortestWait := maxRetryAfter
 	if pool := c.servicePools[r.Service]; pool != nil {
 		for _, u := range pool.upstreams {
-			if u.Draining {
+			if !u.accepting() {
 				continue
 			}
 			shortestWait = min(shortestWait, max(u.backlog(now), u.avoidUntil-now, u.intake.admitsAt(now)-now))
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -120,7 +120,7 @@
 	}
 	accepting, usableMemory := 0, 0
 	for _, u := range pool.upstreams {
-		if u.Draining {
+		if !u.accepting() {
 			continue
 		}
 		accepting++
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -41,6 +41,11 @@
 			c.endRequest(r, now)
 			return
 		}
+		if !r.pendingPlan.mayStillBeSent(now) {
+			c.endAttempt(r, FailureNoCapacity, now)
+			c.enqueue(r, now)
+			return
+		}
 		c.sendAttempt(r, r.pendingPlan, now)
 		return
 	}
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -98,6 +98,12 @@
 	arrivals []time.Duration
 	// downUntil is when a crashed server is back.
 	downUntil time.Duration
+	// asksForRest tells whether the server refuses requests at a time, and asks for rest;
+	// nil if it never does. restAsked holds when it last asked each host, and
+	// refusals how many requests it refused.
+	asksForRest func(now time.Duration) bool
+	restAsked   map[int]time.Duration
+	refusals    int
 }
 
 // scheduledCall is a function to run at a simulated time. seq orders the calls
@@ -150,6 +156,9 @@
 	// refusedAsQuarantined counts the requests under which servers do not crash that
 	// were refused because of a quarantine.
 	refusedAsQuarantined int
+	// duringRest counts the requests that reached a server during a rest for which it had
+	// asked their host.
+	duringRest int
 	// healed is set when servers no longer crash. cutOff holds the hosts that hear
 	// nothing from the others and are not heard by them.
 	healed bool
@@ -276,6 +285,8 @@
 		if e.State == QuarantineBegun {
 			sim.quarantined[e.Verdict.Part] = append(sim.quarantined[e.Verdict.Part], sim.now)
 		}
+	case UpstreamResting:
+		sim.broadcast(host, RestReported{Upstream: e.Upstream, Incarnation: e.Incarnation, RestTime: e.RestTime})
 	case UpstreamLimitChanged:
 		if e.Host != "" {
 			return
@@ -393,6 +404,10 @@
 				sim.crashingArrivals = append(sim.crashingArrivals, sim.now)
 			}
 			server.arrivals = append(server.arrivals, sim.now)
+			if j.isLeader && server.asksForRest != nil && server.asksForRest(sim.now) {
+				sim.refuseForRest(server, j)
+				return
+			}
 			if j.isLeader {
 				server.queue = append(server.queue, j)
 			} else {
@@ -403,6 +418,29 @@
 	}
 }
 
+// restLength is the rest that simulated servers ask for, restSlack the time after which
+// what was under way has arrived.
+const (
+	restLength = 3 * time.Second
+	restSlack  = 500 * time.Millisecond
+)
+
+// refuseForRest has a server refuse a request and ask its host for rest.
+func (sim *simulation) refuseForRest(s *simulatedServer, j *job) {
+	s.refusals++
+	if asked, known := s.restAsked[j.host]; known && sim.now-asked > restSlack && sim.now-asked < restLength {
+		sim.duringRest++
+	}
+	if s.restAsked == nil {
+		s.restAsked = make(map[int]time.Duration)
+	}
+	s.restAsked[j.host] = sim.now
+	sim.schedule(5*time.Millisecond, func() {
+		sim.step(j.host, AnswerNotice{RequestNumber: j.number, Attempt: j.attempt, Upstream: s.id, RestTime: restLength})
+		sim.step(j.host, AttemptFailed{RequestNumber: j.number, Attempt: j.attempt, Class: FailureNoCapacity})
+	})
+}
+
 // startPass begins the server's next pass if none is running.
 func (sim *simulation) startPass(s *simulatedServer) {
 	if s.passEnd > sim.now {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -99,7 +99,7 @@
 
 // usable reports whether new requests may be sent to the upstream.
 func (u *upstream) usable(now time.Duration) bool {
-	return !u.Draining && now >= u.avoidUntil
+	return u.accepting() && now >= u.avoidUntil
 }
 
 // servicePool holds the upstreams of one service, in an order that all hosts
@@ -124,7 +124,7 @@
 // setUpstreams replaces the registered servers by a new list, and keeps what is
 // known about the servers that are still there. A server with a new incarnation
 // or address counts as new.
-func (c *Core) setUpstreams(list []Upstream) {
+func (c *Core) setUpstreams(list []Upstream, now time.Duration) {
 	next := make(map[string]*upstream, len(list))
 	for _, pool := range c.servicePools {
 		pool.upstreams = nil
@@ -132,7 +132,7 @@
 	for _, registration := range list {
 		u := c.upstreams[registration.ID]
 		if u == nil || u.Incarnation != registration.Incarnation || u.Address != registration.Address {
-			u = &upstream{}
+			u = c.newUpstream(registration)
 		}
 		u.Upstream = registration
 		next[registration.ID] = u
@@ -142,6 +142,7 @@
 			u.engine = pool.service.Engine
 		}
 	}
+	c.rememberDepartures(next, now)
 	c.upstreams = next
 	c.updateDataCentres()
 	c.sortPools()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,6 +185,7 @@
 	head := platform.DecodeUpstreamResponse(response, a.inbound.request.ID)
 	if head.MatchesRequest && !head.ServerReplaced {
 		a.reportLimit(head)
+		a.notices.read(response, a.requestNumber, a.send.Attempt, a.send.Members[0].Upstream)
 	}
 	switch {
 	case !head.MatchesRequest:
@@ -192,7 +193,7 @@
 	case head.ServerReplaced:
 		return outcome{class: balance.FailureServerReplaced, status: head.Status}
 	case head.NotExecuted:
-		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper, restTime: head.RestTime}
+		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper, restTime: restTime(response)}
 	case head.Status >= http.StatusInternalServerError:
 		return a.bufferFailure(response, head)
 	default:
@@ -200,6 +201,12 @@
 	}
 }
 
+// restTime returns the rest that a server asks for in a refusal, for logs.
+func restTime(response *http.Response) time.Duration {
+	rest, _ := platform.DecodeRestTime(response) // noticeReader logs the error
+	return rest
+}
+
 // forwardAnswer forwards a response to the caller if it is an answer to the request.
 func (a *attempt) forwardAnswer(response *http.Response, head platform.UpstreamResponse) outcome {
 	switch {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -47,17 +47,20 @@
 	// orders sends memory reservations to servers, broadcastReport sends a work
 	// report to all other hosts, broadcastLimit the limit that a server named,
 	// broadcastQuarantine what was found out about parts of prompts, broadcastCutOff
-	// whether this host reaches servers, and removeExpiredServers is called at each tick.
+	// whether this host reaches servers, broadcastRest that a server has asked for rest,
+	// and removeExpiredServers is called at each tick.
 	orders               *orderSender
 	broadcastReport      func(balance.WorkReport)
 	broadcastLimit       func(upstream string, perSecond float64)
 	broadcastQuarantine  func(balance.QuarantineReport)
 	broadcastCutOff      func(cutOff bool)
+	broadcastRest        func(balance.UpstreamResting)
 	removeExpiredServers func()
 }
 
 // newControl returns a control whose fields orders, broadcastReport, broadcastLimit,
-// broadcastQuarantine, broadcastCutOff and removeExpiredServers are still to be set.
+// broadcastQuarantine, broadcastCutOff, broadcastRest and removeExpiredServers are
+// still to be set.
 func newControl(core *balance.Core, c clock.Clock, logger log.Interface, metrics *telemetry.Registry) *control {
 	return &control{
 		core: core, clock: c, logger: logger, metrics: metrics,
@@ -158,6 +161,10 @@
 		if e.Host == "" {
 			c.broadcastLimit(e.Upstream, e.PerSecond)
 		}
+	case balance.UpstreamResting:
+		c.metrics.Count("gateway_server_rests_total", 1)
+		logevent.UpstreamResting.Emit(c.logger, log.Fields{"upstream": e.Upstream, "rest_ms": e.RestTime.Milliseconds(), "request": e.RequestID})
+		c.broadcastRest(e)
 	case balance.ProbeConnection:
 		go c.probe(e)
 	case balance.BroadcastQuarantine:
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -40,6 +40,7 @@
 	storeView  *storeView
 	control    *control
 	httpClient *httpcall.Client
+	notices    *noticeReader
 	drain      *drainState
 
 	// lastRequestNumber is the number of the last request that was accepted.
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -27,6 +27,7 @@
 	httpClient *httpcall.Client
 	logger     log.Interface
 	metrics    *telemetry.Registry
+	notices    *noticeReader
 	post       func(balance.Event)
 }
 
@@ -36,7 +37,9 @@
 	go func() {
 		body, err := platform.ReserveOrder{ReservationID: e.Member.ReservationID, Tokens: e.Member.ReservedTokens, HoldTime: e.Hold}.Encode()
 		if err == nil {
-			err = o.send(e.Member, body)
+			err = o.send(e.Member, body, func(response *http.Response) {
+				o.notices.read(response, e.RequestNumber, e.Attempt, e.Member.Upstream)
+			})
 		}
 		fields := log.Fields{
 			"ticket": e.Member.ReservationID, "upstream": e.Member.Upstream, "tokens": e.Member.ReservedTokens, "renewal": e.Renewal, "ok": err == nil,
@@ -74,7 +77,7 @@
 	go func() {
 		body, err := platform.ReleaseOrder{ReservationID: m.ReservationID}.Encode()
 		if err == nil {
-			err = o.send(m, body)
+			err = o.send(m, body, func(*http.Response) {})
 		}
 		if err != nil {
 			logevent.MemoryNotReleased.Emit(o.logger, log.Fields{"ticket": m.ReservationID, "upstream": m.Upstream, "error": err.Error()})
@@ -82,9 +85,9 @@
 	}()
 }
 
-// send sends one order. It returns an error if the order was not answered or
-// not carried out.
-func (o *orderSender) send(m balance.Member, body []byte) error {
+// send sends one order, and passes the answer of the server to inspect. It returns an error
+// if the order was not answered or not carried out.
+func (o *orderSender) send(m balance.Member, body []byte, inspect func(*http.Response)) error {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	response, err := o.httpClient.Do(ctx, httpcall.Call{
@@ -96,7 +99,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	o.reportLimit(m, response)
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		o.reportLimit(m, response)
+		inspect(response)
+	}
 	const maxOrderAnswer = 64 << 10
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderAnswer)); err != nil {
 		return errors.Wrap(err, "read the answer to an order")
@@ -107,11 +113,10 @@
 	return nil
 }
 
-// reportLimit posts the limit that a server names in its answer to an order. An
-// answer of another server at the same address is left out.
+// reportLimit posts the limit that a server names in its answer to an order.
 func (o *orderSender) reportLimit(m balance.Member, response *http.Response) {
 	limit, err := platform.DecodeRequestLimit(response.Header)
-	if err == nil && limit > 0 && response.StatusCode != http.StatusMisdirectedRequest {
+	if err == nil && limit > 0 {
 		o.post(balance.LimitObserved{Upstream: m.Upstream, PerSecond: limit})
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -280,6 +280,8 @@
 			err = p.receiveLimit(carrier)
 		case topicQuarantine:
 			err = p.receiveQuarantine(carrier)
+		case topicRest:
+			err = p.receiveRest(carrier)
 		case topicCutOff:
 			err = p.receiveCutOff(carrier)
 		default:
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -116,15 +116,17 @@
 		DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamDialTimeout, MaxIdle: 1, SilenceTimeout: upstreamSilenceTimeout,
 		MaxHeaderBytes: httpcall.DefaultMaxHeaderBytes, Dialer: s.upstreamDialer,
 	})
-	p.control.orders = &orderSender{httpClient: httpClient, logger: logger, metrics: p.metrics, post: p.control.post}
+	notices := &noticeReader{clock: p.clock, logger: logger, metrics: p.metrics, post: p.control.post}
+	p.control.orders = &orderSender{httpClient: httpClient, logger: logger, metrics: p.metrics, notices: notices, post: p.control.post}
 	p.control.broadcastReport = p.peers.broadcastReport
 	p.control.broadcastLimit = p.peers.broadcastLimit
 	p.control.broadcastQuarantine = p.peers.broadcastQuarantine
 	p.control.broadcastCutOff = p.peers.broadcastCutOff
+	p.control.broadcastRest = p.peers.broadcastRest
 	p.control.removeExpiredServers = p.storeView.removeExpiredServers
 	p.ingress = &ingress{
 		clock: p.clock, logger: logger, metrics: p.metrics, storeView: p.storeView,
-		control: p.control, httpClient: httpClient, drain: p.drain,
+		control: p.control, httpClient: httpClient, notices: notices, drain: p.drain,
 	}
 	p.callerServer = &http.Server{
 		Handler: p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/internal/clock"
 	"github.com/chestnutline/chestnutline/internal/quarantine"
+	"github.com/chestnutline/chestnutline/internal/wire"
 	"github.com/chestnutline/chestnutline/platform"
 )
 
@@ -201,6 +202,47 @@
 	}
 }
 
+// TestRestsAreToldToAllHosts guards against hosts that each have to be refused by a server
+// before they know that it rests.
+func TestRestsAreToldToAllHosts(t *testing.T) {
+	for _, hosts := range []int{3, 20} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			g := NewWithT(t)
+			received := make([]chan balance.Event, hosts)
+			all := startPeers(t, hosts, func(i int) func(balance.Event) {
+				received[i] = make(chan balance.Event, 10)
+				return func(e balance.Event) {
+					if _, ok := e.(balance.RestReported); ok {
+						received[i] <- e
+					}
+				}
+			})
+			for _, origin := range []int{0, hosts - 1} {
+				all[origin].broadcastRest(balance.UpstreamResting{Upstream: "i-1", Incarnation: 7, RestTime: 3 * time.Second})
+				for i := range received {
+					if i != origin {
+						g.Eventually(received[i], 5*time.Second).Should(Receive(Equal(balance.RestReported{Upstream: "i-1", Incarnation: 7, RestTime: 3 * time.Second})), "host %d of origin %d", i, origin)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestMessagesOfALaterReleaseAreRefusedAlone guards against hosts of two releases of which
+// the earlier one drops what it can read after a message that it can't.
+func TestMessagesOfALaterReleaseAreRefusedAlone(t *testing.T) {
+	const topicOfLaterRelease wire.Topic = 250
+	g := NewWithT(t)
+	recorders := make([]limitRecorder, 2)
+	all := startPeers(t, 2, func(i int) func(balance.Event) { return recorders[i].post })
+	for limit := range 5 {
+		all[0].transport.Send(all[1].self.address, wire.TopicMessage{Host: "h00", Topic: topicOfLaterRelease, Body: []byte("unknown")})
+		all[0].broadcastLimit("i-1", float64(limit+1))
+		g.Eventually(recorders[1].last, 5*time.Second).Should(Equal(float64(limit + 1)))
+	}
+}
+
 // startPeers starts the given number of hosts in two data centres, which know each
 // other. The function postOf returns what takes the events of one of them.
 func startPeers(t *testing.T, hosts int, postOf func(i int) func(balance.Event)) []*peers {
--- a/internal/gateway/repeated_crash_test.go
+++ b/internal/gateway/repeated_crash_test.go
@@ -21,18 +21,6 @@
 	minServedDuringCrashes = 0.9
 )
 
-// startDesks starts servers of the service that answers calls.
-func startDesks(t *testing.T, store *standin.Store, count int) []*standin.Server {
-	t.Helper()
-	desks := make([]*standin.Server, count)
-	for i := range desks {
-		desks[i] = standin.NewServer(fmt.Sprint("i-d", i))
-		t.Cleanup(desks[i].Close)
-		desks[i].Register(store, "desk", "a", standin.StateReady)
-	}
-	return desks
-}
-
 // startHosts starts gateways that know each other.
 func startHosts(t *testing.T, store *standin.Store, count int) []*testHost {
 	t.Helper()
@@ -98,7 +86,7 @@
 				store := standin.NewStore()
 				t.Cleanup(store.Close)
 				store.PutConfiguration(1, "k1")
-				desks := startDesks(t, store, servers)
+				_, desks := startServers(t, store, 0, servers)
 				for _, s := range desks {
 					s.CrashUnderBody("bad")
 				}
@@ -138,7 +126,7 @@
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
 	store.PutConfiguration(1, "k1")
-	desks := startDesks(t, store, 20)
+	_, desks := startServers(t, store, 0, 20)
 	for _, s := range desks {
 		s.CallTime = 60 * time.Millisecond
 	}
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -77,6 +77,22 @@
 	answers.Wait()
 }
 
+// TestBadRestsAreLoggedRarelyAndDoNoHarm guards against servers that ask for rest by a
+// date, a negative number or text.
+func TestBadRestsAreLoggedRarelyAndDoNoHarm(t *testing.T) {
+	g := NewWithT(t)
+	h, _, _, desks := setUp(t)
+	for i, rest := range []string{"-1", "soon", "Fri, 04 Dec 2026 13:00:00 GMT", "NaN"} {
+		desks[i%2].SetRest(rest)
+		desks[1-i%2].SetRest("")
+		for n := range 3 {
+			g.Expect(h.call("GET", "/g/x", fmt.Sprint("r-", i, "-", n), "").status).To(Equal(http.StatusOK))
+		}
+	}
+	g.Expect(strings.Count(h.logs.String(), `"event":7032`)).To(Equal(1))
+	g.Expect(h.logs.hasEvent(7028)).To(BeFalse())
+}
+
 // TestServersThatAskForRestGetIt guards against hosts that go on sending to servers which
 // have asked them for rest, and that drive the others into asking as well.
 func TestServersThatAskForRestGetIt(t *testing.T) {
