Leave out servers that announce their end in their answers

Servers that are shutting down now say so in all answers (Server-Leaving: 1).

Cause: only the registration could take a server out of choice; what its answers said was passed on unread.

Change: the intake of a server holds that it is leaving. The notice is read from every answer, streams, failures, refusals and answers to orders for memory included, and takes this run of the server out at once, in touch with the store or not, until a later run registers. Other hosts are told, with the run; a lapse of the registration does not end it.

Why it works: every choice asks whether the server accepts requests, and neither a list of servers read anew nor news of a former run change what this run has said.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -116,6 +116,8 @@
 		c.handleAnswerNotice(e, now)
 	case RestReported:
 		c.handleRestReported(e, now)
+	case LeavingReported:
+		c.handleLeavingReported(e)
 	case ReservationResult:
 		c.handleReservationResult(e, now)
 	case UpstreamsChanged:
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -193,6 +193,17 @@
 	RestTime  time.Duration
 }
 
+// UpstreamLeaving reports that a server has announced that it is shutting down, and gets
+// no new requests until a later run of it registers.
+type UpstreamLeaving struct {
+	// Upstream is the id of the server, Incarnation its run.
+	Upstream    string
+	Incarnation int64
+	// Host is the other host that reported it. If it is empty, this host was told by the
+	// server, and tells all other hosts.
+	Host string
+}
+
 // ProbeConnection asks for a connection to a server, which is closed at once. A
 // ConnectionProbed event answers it.
 type ProbeConnection struct {
@@ -239,6 +250,7 @@
 func (QuarantineChanged) effect()    {}
 func (UpstreamLimitChanged) effect() {}
 func (UpstreamResting) effect()      {}
+func (UpstreamLeaving) effect()      {}
 func (ReserveMemory) effect()        {}
 func (ReleaseMemory) effect()        {}
 func (Refuse) effect()               {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -80,6 +80,8 @@
 	// RestTime is how long it wants no more requests from this host; 0 if it does not ask
 	// for rest.
 	RestTime time.Duration
+	// Leaving is set when the server announces that it is shutting down.
+	Leaving bool
 }
 
 // RestReported reports that a server has asked another host for rest. This host may send
@@ -92,6 +94,14 @@
 	RestTime time.Duration
 }
 
+// LeavingReported reports that a server has announced to another host that it is shutting
+// down.
+type LeavingReported struct {
+	Host, Upstream string
+	// Incarnation is the run of the server, as registered.
+	Incarnation int64
+}
+
 // FailureClass tells what is known about a failed attempt, in particular
 // whether the upstream may have executed the request.
 type FailureClass string
@@ -242,6 +252,7 @@
 func (LimitObserved) event()      {}
 func (AnswerNotice) event()       {}
 func (RestReported) event()       {}
+func (LeavingReported) event()    {}
 func (FirstPiece) event()         {}
 func (Finished) event()           {}
 func (AttemptFailed) event()      {}
--- a/internal/balance/intake.go
+++ b/internal/balance/intake.go
@@ -21,7 +21,7 @@
 // leaky bucket: each request that any host is known to begin there fills it by one, and
 // it drains at the limit's rate. Requests that other hosts begin at the same moment
 // overfill it, and are made up for later. While the server rests, this host sends it
-// nothing; other hosts may.
+// nothing; other hosts may. A server that is leaving gets nothing any more.
 type intake struct {
 	// limit is the number of requests a second; 0 if the server names none.
 	limit float64
@@ -31,6 +31,8 @@
 	// restUntil is the end of the rest that the server has asked this host for,
 	// restElsewhereUntil of the longest one that it has asked another host for.
 	restUntil, restElsewhereUntil time.Duration
+	// leaving is set when the server has announced that it is shutting down.
+	leaving bool
 }
 
 // capacity returns the number of requests that the bucket holds.
@@ -68,7 +70,7 @@
 
 // bindsBeyondRegistration reports whether the server has said something that holds even
 // if its registration disappears for a while.
-func (i *intake) bindsBeyondRegistration(now time.Duration) bool { return i.resting(now) }
+func (i *intake) bindsBeyondRegistration(now time.Duration) bool { return i.leaving || i.resting(now) }
 
 // admitsAt returns the time from which on the server may get another request, as
 // far as is known now.
@@ -86,7 +88,7 @@
 // the number of requests that may be looking for one, since their hosts do not
 // know of each other's choices at once. A waiting request tries once a tick.
 func (c *Core) admits(u *upstream, r *request, now time.Duration) bool {
-	if u.intake.resting(now) {
+	if u.intake.leaving || u.intake.resting(now) {
 		return false
 	}
 	if u.intake.limit == 0 {
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -4,7 +4,7 @@
 
 const (
 	// departureMemory is how long it is remembered that a server which is no longer
-	// registered had asked for rest. Its registration may come back.
+	// registered had announced its end or asked for rest. Its registration may come back.
 	departureMemory = 10 * time.Minute
 	// restSpread is the part of the wait by which the times are spread at which callers
 	// are told to come back when all servers rest.
@@ -35,6 +35,10 @@
 		if u.ID != e.Upstream {
 			continue
 		}
+		if e.Leaving && !u.intake.leaving {
+			u.intake.leaving = true
+			c.emit(UpstreamLeaving{Upstream: u.ID, Incarnation: u.Incarnation})
+		}
 		if e.RestTime > 0 {
 			if !u.intake.resting(now) {
 				c.emit(UpstreamResting{Upstream: u.ID, Incarnation: u.Incarnation, RestTime: e.RestTime, RequestID: r.ID})
@@ -51,6 +55,16 @@
 	}
 }
 
+// handleLeavingReported records that a server has announced its end to another host.
+func (c *Core) handleLeavingReported(e LeavingReported) {
+	u := c.upstreams[e.Upstream]
+	if u == nil || u.Incarnation != e.Incarnation || u.intake.leaving {
+		return
+	}
+	u.intake.leaving = true
+	c.emit(UpstreamLeaving{Upstream: u.ID, Incarnation: u.Incarnation, Host: e.Host})
+}
+
 // failureRisk returns the expected probability that the next request fails or is refused.
 func (u *upstream) failureRisk(now time.Duration) float64 {
 	risk := u.failureShare(now)
@@ -61,7 +75,7 @@
 }
 
 // accepting reports whether a server takes new requests at all.
-func (u *upstream) accepting() bool { return !u.Draining }
+func (u *upstream) accepting() bool { return !u.Draining && !u.intake.leaving }
 
 // rememberDepartures keeps what the servers have said that the next list lacks.
 func (c *Core) rememberDepartures(next map[string]*upstream, now time.Duration) {
--- a/internal/balance/notice_test.go
+++ b/internal/balance/notice_test.go
@@ -135,6 +135,57 @@
 	g.Expect(last).To(ContainElement(BeAssignableToTypeOf(ReleaseMemory{})))
 }
 
+// leave has a server announce that it is shutting down in its answer to a request.
+func leave(c *Core, s *Send, now time.Duration) []Effect {
+	return c.Step(now, AnswerNotice{RequestNumber: s.RequestNumber, Attempt: s.Attempt, Upstream: s.Members[0].Upstream, Leaving: true})
+}
+
+// deskUpstreams returns registrations of the servers of one service with an incarnation.
+func deskUpstreams(incarnation int64, ids ...string) UpstreamsChanged {
+	var list []Upstream
+	for _, id := range ids {
+		list = append(list, Upstream{ID: id, Service: "desk", Address: id, DataCentre: "a", Slots: 16, Incarnation: incarnation})
+	}
+	return UpstreamsChanged{Upstreams: list}
+}
+
+// TestLeavingServerGetsNothingUntilItsNextRun guards against servers that get requests
+// again since their registration was read anew, or disappeared for a while.
+func TestLeavingServerGetsNothingUntilItsNextRun(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	c.Step(0, deskUpstreams(1, "one"))
+	s := sendOne(c, 1, "desk", 0)
+	effects := leave(c, s, 0)
+	g.Expect(effects).To(ContainElement(UpstreamLeaving{Upstream: "one", Incarnation: 1}))
+	g.Expect(leave(c, s, 0)).NotTo(ContainElement(BeAssignableToTypeOf(UpstreamLeaving{})), "told once")
+	c.Step(time.Second, Finished{RequestNumber: 1, Attempt: 1, Success: true})
+	g.Expect(sendOne(c, 2, "desk", time.Second)).To(BeNil())
+	c.Step(2*time.Second, deskUpstreams(1, "one", "two"))
+	g.Expect(sendOne(c, 3, "desk", 2*time.Second).Members[0].Upstream).To(Equal("two"))
+	c.Step(3*time.Second, deskUpstreams(1, "two"))
+	c.Step(4*time.Second, deskUpstreams(1, "one"))
+	g.Expect(sendOne(c, 4, "desk", 4*time.Second)).To(BeNil(), "its registration lapsed and is back")
+	c.Step(5*time.Second, deskUpstreams(2, "one"))
+	g.Expect(sendOne(c, 5, "desk", 5*time.Second)).NotTo(BeNil(), "another run")
+}
+
+// TestNewsOfALeavingServerConcernItsRunOnly guards against a server that is shunned since
+// its former run has left.
+func TestNewsOfALeavingServerConcernItsRunOnly(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	c.Step(0, deskUpstreams(1, "one"))
+	s := sendOne(c, 1, "desk", 0)
+	c.Step(time.Second, deskUpstreams(2, "one"))
+	leave(c, s, time.Second)
+	c.Step(time.Second, LeavingReported{Host: "h2", Upstream: "one", Incarnation: 1})
+	g.Expect(sendOne(c, 2, "desk", time.Second)).NotTo(BeNil())
+	effects := c.Step(time.Second, LeavingReported{Host: "h2", Upstream: "one", Incarnation: 2})
+	g.Expect(effects).To(ContainElement(UpstreamLeaving{Upstream: "one", Incarnation: 2, Host: "h2"}))
+	g.Expect(sendOne(c, 3, "desk", time.Second)).To(BeNil())
+}
+
 // TestLoadOfRestingServersIsBorneByTheOthers guards against hosts that send to servers
 // during their rest, or that drive the other servers into being late.
 func TestLoadOfRestingServersIsBorneByTheOthers(t *testing.T) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -48,19 +48,21 @@
 	// report to all other hosts, broadcastLimit the limit that a server named,
 	// broadcastQuarantine what was found out about parts of prompts, broadcastCutOff
 	// whether this host reaches servers, broadcastRest that a server has asked for rest,
-	// and removeExpiredServers is called at each tick.
+	// broadcastLeaving that one is shutting down, and removeExpiredServers is called at
+	// each tick.
 	orders               *orderSender
 	broadcastReport      func(balance.WorkReport)
 	broadcastLimit       func(upstream string, perSecond float64)
 	broadcastQuarantine  func(balance.QuarantineReport)
 	broadcastCutOff      func(cutOff bool)
 	broadcastRest        func(balance.UpstreamResting)
+	broadcastLeaving     func(upstream string, incarnation int64)
 	removeExpiredServers func()
 }
 
 // newControl returns a control whose fields orders, broadcastReport, broadcastLimit,
-// broadcastQuarantine, broadcastCutOff, broadcastRest and removeExpiredServers are
-// still to be set.
+// broadcastQuarantine, broadcastCutOff, broadcastRest, broadcastLeaving and
+// removeExpiredServers are still to be set.
 func newControl(core *balance.Core, c clock.Clock, logger log.Interface, metrics *telemetry.Registry) *control {
 	return &control{
 		core: core, clock: c, logger: logger, metrics: metrics,
@@ -165,6 +167,12 @@
 		c.metrics.Count("gateway_server_rests_total", 1)
 		logevent.UpstreamResting.Emit(c.logger, log.Fields{"upstream": e.Upstream, "rest_ms": e.RestTime.Milliseconds(), "request": e.RequestID})
 		c.broadcastRest(e)
+	case balance.UpstreamLeaving:
+		c.metrics.Count("gateway_servers_leaving_total", 1)
+		logevent.UpstreamLeaving.Emit(c.logger, log.Fields{"upstream": e.Upstream, "incarnation": e.Incarnation, "host": e.Host})
+		if e.Host == "" {
+			c.broadcastLeaving(e.Upstream, e.Incarnation)
+		}
 	case balance.ProbeConnection:
 		go c.probe(e)
 	case balance.BroadcastQuarantine:
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -30,14 +30,15 @@
 }
 
 // read posts what the answer of a server to an attempt, or to an order for it, says about
-// rest.
+// rest and shutdown.
 func (n *noticeReader) read(response *http.Response, requestNumber uint64, attempt int, upstream string) {
 	rest, err := platform.DecodeRestTime(response)
 	if err != nil {
 		n.recordInvalid(upstream, err)
 	}
-	if rest > 0 {
-		n.post(balance.AnswerNotice{RequestNumber: requestNumber, Attempt: attempt, Upstream: upstream, RestTime: rest})
+	leaving := platform.IsLeaving(response.Header)
+	if rest > 0 || leaving {
+		n.post(balance.AnswerNotice{RequestNumber: requestNumber, Attempt: attempt, Upstream: upstream, RestTime: rest, Leaving: leaving})
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -282,6 +282,8 @@
 			err = p.receiveQuarantine(carrier)
 		case topicRest:
 			err = p.receiveRest(carrier)
+		case topicLeaving:
+			err = p.receiveLeaving(carrier)
 		case topicCutOff:
 			err = p.receiveCutOff(carrier)
 		default:
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -123,6 +123,7 @@
 	p.control.broadcastQuarantine = p.peers.broadcastQuarantine
 	p.control.broadcastCutOff = p.peers.broadcastCutOff
 	p.control.broadcastRest = p.peers.broadcastRest
+	p.control.broadcastLeaving = p.peers.broadcastLeaving
 	p.control.removeExpiredServers = p.storeView.removeExpiredServers
 	p.ingress = &ingress{
 		clock: p.clock, logger: logger, metrics: p.metrics, storeView: p.storeView,
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -202,6 +202,33 @@
 	}
 }
 
+// TestLeavingServersAreToldToAllHosts guards against hosts that each have to hear from a
+// server itself that it is shutting down.
+func TestLeavingServersAreToldToAllHosts(t *testing.T) {
+	for _, hosts := range []int{3, 20} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			g := NewWithT(t)
+			received := make([]chan balance.LeavingReported, hosts)
+			all := startPeers(t, hosts, func(i int) func(balance.Event) {
+				received[i] = make(chan balance.LeavingReported, 10)
+				return func(e balance.Event) {
+					if reported, ok := e.(balance.LeavingReported); ok {
+						received[i] <- reported
+					}
+				}
+			})
+			for _, origin := range []int{0, hosts - 1} {
+				all[origin].broadcastLeaving("i-1", 7)
+				for i := range received {
+					if i != origin {
+						g.Eventually(received[i], 5*time.Second).Should(Receive(And(HaveField("Upstream", "i-1"), HaveField("Incarnation", int64(7)))), "host %d of origin %d", i, origin)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestRestsAreToldToAllHosts guards against hosts that each have to be refused by a server
 // before they know that it rests.
 func TestRestsAreToldToAllHosts(t *testing.T) {
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -77,6 +77,36 @@
 	answers.Wait()
 }
 
+// TestLeavingIsReadFromEveryKindOfAnswer guards against answers in which a server's words are
+// overlooked: streams, failures, refusals and the answers to orders for memory.
+func TestLeavingIsReadFromEveryKindOfAnswer(t *testing.T) {
+	for name, send := range map[string]func(h *testHost, servers, desks []*standin.Server){
+		"stream": func(h *testHost, _, _ []*standin.Server) { h.sendPrompt("r-1", "5c:40,own:30") },
+		"call":   func(h *testHost, _, _ []*standin.Server) { h.call("GET", "/g/x", "r-1", "") },
+		"failure": func(h *testHost, all, _ []*standin.Server) {
+			setFault(all, standin.Failing)
+			h.call("GET", "/g/x", "r-1", "")
+		},
+		"refusal": func(h *testHost, all, _ []*standin.Server) {
+			setFault(all, standin.Full)
+			h.call("POST", "/u/x", "r-1", "")
+		},
+		"order": func(h *testHost, _, _ []*standin.Server) {
+			h.send("POST", "/s/", "", standin.HeaderRequestID, "r-1", standin.HeaderKey, standin.KeyHeaderValue("k1"), standin.HeaderUsage, "120000,20")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, _, engines, desks := setUp(t)
+			all := append(append([]*standin.Server(nil), engines...), desks...)
+			for _, s := range all {
+				s.SetLeaving(true)
+			}
+			send(h, all, desks)
+			h.await(func() bool { return h.logs.hasEvent(7029) }, "the server is left out")
+		})
+	}
+}
+
 // TestBadRestsAreLoggedRarelyAndDoNoHarm guards against servers that ask for rest by a
 // date, a negative number or text.
 func TestBadRestsAreLoggedRarelyAndDoNoHarm(t *testing.T) {
