Play repeated crashing requests, rests and announced ends in the soak

Three faults and three promises: one request crashes each server that runs it, again and again; a server refuses and asks for 2 s of rest; a server announces its end in its answers 3 s before the store learns of it. The checks take what servers received, and leave out requests that a host passed on, which its log names. Each promise has a history that breaks it.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -27,6 +27,10 @@
 	// crashingPromptShare is the share of streams with crashingPart while servers are to
 	// crash under prompts.
 	crashingPromptShare = 0.2
+	// repeatShare is the share of idempotent calls that are the request under which servers
+	// crash again and again, while they are to. crashingBody is its body.
+	repeatShare  = 0.3
+	crashingBody = "crash"
 	// sharedPart is a part that all prompts have, crashingPart one under which servers
 	// crash.
 	sharedPart, crashingPart = "5c", "bad"
@@ -106,6 +110,7 @@
 		Key: c.drawKey(), Limit: callerTimeLimits[kind], Sent: c.harness.elapsed(),
 	}
 	call.CrashesServers = kind == Stream && c.harness.crashingPrompts.Load() > 0 && c.random.Float64() < crashingPromptShare
+	call.Repeat = kind == Idempotent && c.harness.crashingRepeats.Load() > 0 && c.random.Float64() < repeatShare
 	// The caller stops waiting well after the time at which the guarantee of the
 	// time limit is violated.
 	ctx, cancel := context.WithTimeout(ctx, call.Limit+4*timeLimitTolerance)
@@ -130,6 +135,9 @@
 	if call.Kind == Idempotent {
 		method, body = http.MethodGet, ""
 	}
+	if call.Repeat {
+		method, body = http.MethodPost, crashingBody
+	}
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.host.address(callerPort)+paths[call.Kind], strings.NewReader(body))
 	if err != nil {
 		panic(err)
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -37,6 +37,9 @@
 	{"service comes back", checkRecovered},
 	{"memory is given back", checkMemory},
 	{"prompts that crash servers are kept away from the others", checkCrashingPrompts},
+	{"a request that crashes servers is kept away from the others", checkRepeatedCrashes},
+	{"servers get the rest that they ask for", checkRests},
+	{"a server that announces its end gets nothing new", checkAnnounced},
 	{"processes do not end by themselves", checkExits},
 }
 
@@ -352,6 +355,89 @@
 	}
 }
 
+// callsByID returns the calls by their ids.
+func (h *History) callsByID() map[string]*Call {
+	calls := make(map[string]*Call, len(h.Calls))
+	for i := range h.Calls {
+		calls[h.Calls[i].ID] = &h.Calls[i]
+	}
+	return calls
+}
+
+// checkRepeatedCrashes checks that the request under which servers crash again and again
+// seldom reaches servers from stable hosts once the time to react has passed.
+func checkRepeatedCrashes(h *History, report func(string, ...any)) {
+	if len(h.RepeatCrashes) < freeRepeatCrashes {
+		return
+	}
+	inForce := h.RepeatCrashes[freeRepeatCrashes-1] + stableWindow
+	calls := h.callsByID()
+	var later []string
+	for _, a := range h.Arrivals {
+		c := calls[a.Request]
+		if c != nil && c.Repeat && a.At > inForce && !h.hasFault(a.At-stableWindow, a.At, c.Host) {
+			later = append(later, fmt.Sprintf("%s of %s on %s at %v", a.Request, c.Host, a.Server, a.At))
+		}
+	}
+	if len(later) > maxLaterRepeats {
+		report("%d reached servers later than %v after crash %d: %s", len(later), stableWindow, freeRepeatCrashes, strings.Join(later, ", "))
+	}
+}
+
+// checkRests checks that a server gets few requests from a host that it has asked for
+// rest, unless a fault of the host or of the way to the server came between.
+func checkRests(h *History, report func(string, ...any)) {
+	calls := h.callsByID()
+	for _, rest := range h.Rests {
+		asked := calls[rest.Request]
+		if asked == nil || h.PassedOn[rest.Request] || h.hasFault(rest.At, rest.At+restLength, asked.Host) {
+			continue
+		}
+		var during []string
+		for _, a := range h.Arrivals {
+			c := calls[a.Request]
+			after := a.At - rest.At
+			if a.Server == rest.Server && c != nil && c.Host == asked.Host && !h.PassedOn[a.Request] && after > restSlack && after < restLength {
+				during = append(during, a.Request)
+			}
+		}
+		if len(during) > maxDuringRest {
+			report("%s asked %s for rest at %v, and got %s", rest.Server, asked.Host, rest.At, strings.Join(during, ", "))
+		}
+	}
+}
+
+// checkAnnounced checks that a host sends a server no request that came in later than
+// maxDrainTime after the server's answer to the same run of the host announced its end.
+func checkAnnounced(h *History, report func(string, ...any)) {
+	calls := h.callsByID()
+	type pair struct {
+		server, host string
+		boot         int
+	}
+	announced := make(map[pair]time.Duration)
+	for _, a := range h.Announced {
+		c := calls[a.Request]
+		if c == nil || c.Broken || h.PassedOn[a.Request] {
+			continue
+		}
+		key := pair{a.Server, c.Host, c.Boot}
+		if first, known := announced[key]; !known || c.Ended < first {
+			announced[key] = c.Ended
+		}
+	}
+	for _, a := range h.Arrivals {
+		c := calls[a.Request]
+		if c == nil || h.PassedOn[a.Request] {
+			continue
+		}
+		at, known := announced[pair{a.Server, c.Host, c.Boot}]
+		if known && c.Sent > at+maxDrainTime && !h.hasProcessFault(at, c.Sent, c.Host) {
+			report("%s ran on %s, which had announced its end to %s %v before", c.describe(), a.Server, c.Host, c.Sent-at)
+		}
+	}
+}
+
 // checkExits checks that no process ended unless the soak test ended it.
 func checkExits(h *History, report func(string, ...any)) {
 	for _, e := range h.Exits {
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -122,6 +122,23 @@
 			h.findCall(id).CrashesServers = true
 		}
 	}},
+	{"a request that crashes servers is kept away from the others", "four arrivals long after the third crash", func(h *History) {
+		h.RepeatCrashes = []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}
+		for _, id := range []string{"often-30", "often-31", "often-32", "often-33"} {
+			h.findCall(id).Repeat = true
+			h.Arrivals = append(h.Arrivals, Execution{Request: id, Server: "s", At: h.findCall(id).Sent})
+		}
+	}},
+	{"servers get the rest that they ask for", "three arrivals within a rest", func(h *History) {
+		h.Rests = []Execution{{Request: "often-30", Server: "s", At: 30 * time.Second}}
+		for _, id := range []string{"often-31", "once-31", "stream-31"} {
+			h.Arrivals = append(h.Arrivals, Execution{Request: id, Server: "s", At: h.findCall(id).Sent})
+		}
+	}},
+	{"a server that announces its end gets nothing new", "a request long after the announcement", func(h *History) {
+		h.Announced = []Execution{{Request: "often-30", Server: "s", At: 30 * time.Second}}
+		h.Arrivals = append(h.Arrivals, Execution{Request: "often-33", Server: "s", At: h.findCall("often-33").Sent})
+	}},
 	{"processes do not end by themselves", "a crash", func(h *History) { h.Exits = append(h.Exits, Exit{Host: "h", Text: "exit status 2"}) }},
 }
 
--- a/internal/bench/soak/config.go
+++ b/internal/bench/soak/config.go
@@ -87,6 +87,14 @@
 	// window, at most maxLaterCrashingPrompts such prompts may reach servers.
 	freeCrashes             = 5
 	maxLaterCrashingPrompts = 3
+	// freeRepeatCrashes is the number of crashes under one request after which, and after a
+	// stable window, it may reach servers maxLaterRepeats times.
+	freeRepeatCrashes = 3
+	maxLaterRepeats   = 3
+	// restSlack is the time after a server's request for rest in which what is under way
+	// may arrive, maxDuringRest what may arrive from the host after it.
+	restSlack     = 500 * time.Millisecond
+	maxDuringRest = 2
 	// timeLimitTolerance is how much longer than its time limit a request may
 	// take.
 	timeLimitTolerance = 500 * time.Millisecond
--- a/internal/bench/soak/harness.go
+++ b/internal/bench/soak/harness.go
@@ -39,6 +39,9 @@
 	servers   []*server
 	// crashingPrompts is above 0 while callers send prompts under which servers crash.
 	crashingPrompts atomic.Int64
+	// crashingRepeats is above 0 while callers send one request again and again under which
+	// servers crash.
+	crashingRepeats atomic.Int64
 
 	mu      sync.Mutex
 	history History
@@ -192,12 +195,23 @@
 	for _, s := range hs.servers {
 		for _, standIn := range s.allStandIns() {
 			for _, crash := range standIn.Crashes() {
-				if crash.Part != "" {
+				switch crash.Part {
+				case "":
+				case crashingBody:
+					h.RepeatCrashes = append(h.RepeatCrashes, crash.At.Sub(hs.startedAt))
+				default:
 					h.Crashes = append(h.Crashes, crash.At.Sub(hs.startedAt))
 				}
 			}
+			for _, rest := range standIn.Rests() {
+				h.Rests = append(h.Rests, Execution{Request: rest.Request, Server: standIn.ID, At: rest.At.Sub(hs.startedAt)})
+			}
+			for _, a := range standIn.Announcements() {
+				h.Announced = append(h.Announced, Execution{Request: a.Request, Server: standIn.ID, At: a.At.Sub(hs.startedAt)})
+			}
 			h.Held = append(h.Held, HeldMemory{Server: standIn.ID, Tickets: standIn.Reservations()})
 			for _, r := range standIn.ReceivedRequests() {
+				h.Arrivals = append(h.Arrivals, Execution{Request: r.ID, Server: standIn.ID, At: r.At.Sub(hs.startedAt)})
 				if !r.Executed {
 					continue
 				}
@@ -206,6 +220,7 @@
 		}
 	}
 	slices.Sort(h.Crashes)
+	slices.Sort(h.RepeatCrashes)
 	sort.SliceStable(h.Runs, func(i, j int) bool {
 		a, b := h.Runs[i], h.Runs[j]
 		return a.Request < b.Request || a.Request == b.Request && a.At < b.At
--- a/internal/bench/soak/history.go
+++ b/internal/bench/soak/history.go
@@ -1,12 +1,17 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/logevent"
 )
 
 // Kind is a kind of request, which determines whether it may be repeated.
@@ -42,6 +47,9 @@
 	Limit time.Duration
 	// CrashesServers is true if each server crashes that begins to answer the request.
 	CrashesServers bool
+	// Repeat is true for the one request that is sent again and again, under other ids, and
+	// under which each server crashes.
+	Repeat bool
 	// Status is the HTTP status, or 0 if no answer began.
 	Status int
 	// Body is the part of the answer's body that arrived.
@@ -128,6 +136,16 @@
 	Exits []Exit
 	// Crashes are the times at which servers crashed under a prompt, in order.
 	Crashes []time.Duration
+	// RepeatCrashes are the times at which servers crashed under the request that comes
+	// again and again, in order.
+	RepeatCrashes []time.Duration
+	// Arrivals are all requests that reached servers, those that were refused too. Rests
+	// are those whose refusal asked for restLength of rest, Announced those whose answer
+	// announced the server's end.
+	Arrivals, Rests, Announced []Execution
+	// PassedOn holds the ids of requests that their host passed on to another one, so that
+	// servers got them from there.
+	PassedOn map[string]bool
 	// Held are the memory reservations left at the end, one entry for each
 	// server.
 	Held []HeldMemory
@@ -157,6 +175,36 @@
 	return false
 }
 
+// hasProcessFault reports whether a fault of the host's process overlaps the time span.
+func (h *History) hasProcessFault(from, to time.Duration, host string) bool {
+	return slices.ContainsFunc(h.Faults, func(s FaultSpan) bool {
+		return s.Target == host && s.To >= from && s.From <= to && slices.Contains([]Fault{hostStop, hostKill, hostPause}, s.Fault)
+	})
+}
+
+// readPassedOn reads from the hosts' logs which requests they passed on.
+func (h *History) readPassedOn(directory string) error {
+	files, err := filepath.Glob(filepath.Join(directory, "*.log"))
+	if err != nil {
+		return errors.Wrap(err, "list the logs")
+	}
+	h.PassedOn = make(map[string]bool)
+	forwarded := fmt.Appendf(nil, `"event":%d,`, logevent.RoutedForwarded.Number)
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Wrap(err, "read a log")
+		}
+		for _, line := range bytes.Split(content, []byte("\n")) {
+			var entry struct{ Fields struct{ Request string } }
+			if bytes.Contains(line, forwarded) && json.Unmarshal(line, &entry) == nil {
+				h.PassedOn[entry.Fields.Request] = true
+			}
+		}
+	}
+	return nil
+}
+
 // hasOnlyPlannedFaults reports whether no fault other than planned work overlaps
 // the time span.
 func (h *History) hasOnlyPlannedFaults(from, to time.Duration) bool {
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -47,9 +48,13 @@
 	case targetStore:
 		hs.injectStoreFault(ctx, s)
 	case targetCallers:
-		hs.crashingPrompts.Add(1)
+		active := &hs.crashingPrompts
+		if s.fault == repeatCrashesServers {
+			active = &hs.crashingRepeats
+		}
+		active.Add(1)
 		sleep(ctx, s.duration)
-		hs.crashingPrompts.Add(-1)
+		active.Add(-1)
 	default:
 		hs.injectServerFault(ctx, hs.servers[s.targetIndex], s)
 	}
@@ -158,7 +163,16 @@
 	case serverCrashes:
 		standIn.Crash()
 		sleep(ctx, standIn.Downtime)
-	case serverReplaced:
+	case serverAsksForRest:
+		standIn.SetRest(fmt.Sprint(restLength.Seconds()))
+		sleep(ctx, s.duration)
+		standIn.SetRest("")
+	case serverReplaced, serverAnnouncesEnd:
+		if s.fault == serverAnnouncesEnd {
+			standIn.SetLeaving(true)
+			// The store learns of it only after the time to drain.
+			sleep(ctx, maxDrainTime+extraServeTime)
+		}
 		if err := server.replace(s.targetIndex); err != nil {
 			hs.recordError(err)
 		}
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -43,14 +43,17 @@
 	serverLinkDelayed       Fault = "server is far away"
 	serverReplaced          Fault = "server leaves and another one comes"
 	serverCrashes           Fault = "server crashes and starts again"
+	serverAsksForRest       Fault = "server refuses and asks for rest"
+	serverAnnouncesEnd      Fault = "server announces its end in its answers, and another one comes"
 
-	promptsCrashServers Fault = "prompts with one part crash servers"
+	promptsCrashServers  Fault = "prompts with one part crash servers"
+	repeatCrashesServers Fault = "one request crashes servers again and again"
 )
 
 // isPlanned reports whether the fault is work that operators plan, during which no
 // request may be lost.
 func (f Fault) isPlanned() bool {
-	return f == hostStop || f == hostReload || f == serverReplaced
+	return f == hostStop || f == hostReload || f == serverReplaced || f == serverAnnouncesEnd
 }
 
 // targetKind is the kind of component that a fault affects.
@@ -98,7 +101,10 @@
 	{serverLinkDelayed, targetServer, 4 * time.Second},
 	{serverReplaced, targetServer, 0},
 	{serverCrashes, targetServer, 0},
+	{serverAsksForRest, targetServer, 6 * time.Second},
+	{serverAnnouncesEnd, targetServer, 0},
 	{promptsCrashServers, targetCallers, 12 * time.Second},
+	{repeatCrashesServers, targetCallers, 12 * time.Second},
 }
 
 // scheduledFault is one fault of a schedule.
--- a/internal/bench/soak/server.go
+++ b/internal/bench/soak/server.go
@@ -20,6 +20,8 @@
 	extraServeTime = time.Second
 	// eventInterval is the time before each event of a stream.
 	eventInterval = 20 * time.Millisecond
+	// restLength is the rest that servers ask for.
+	restLength = 2 * time.Second
 )
 
 // server is one server of the soak test: a stand-in process behind a relay. When
@@ -53,6 +55,7 @@
 	s.generation++
 	next := standin.NewServer(fmt.Sprintf("%s-%d-%d", s.service, index, s.generation))
 	next.CrashUnder(crashingPart)
+	next.CrashUnderBody(crashingBody)
 	next.EventCount = streamEvents
 	next.EventInterval = eventInterval
 	r, err := relay.Start("127.0.0.1:0", next.Address(), relay.SingleLink(s.link), s.harness.config.Seed)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -72,6 +72,9 @@
 	// time, although no further request arrives.
 	sleep(ctx, maxMemoryReleaseTime)
 	history := hs.collectHistory()
+	if err := history.readPassedOn(c.Directory); err != nil {
+		return nil, err
+	}
 	stop()
 	balancer.Wait()
 	return hs.buildReport(&history)
