Hash the content of requests off the control thread

While a crash is remembered, the content of each request is named. A body of 4 MiB takes 3.5 ms to hash (1.4 us for 1 kB), during which the control thread would have decided nothing; the request's own goroutine does it now.

--- a/internal/balance/quarantine.go
+++ b/internal/balance/quarantine.go
@@ -56,6 +56,9 @@
 // requests. The gateway exports it as a gauge.
 func (c *Core) QuarantinedParts() int { return c.quarantine.Len() }
 
+// CrashesRemembered reports whether the core asks for the contents of requests.
+func (c *Core) CrashesRemembered() bool { return c.quarantine.Active() }
+
 // contentNames returns the name of the request's content, as a list that is empty if it
 // has none.
 func (r *request) contentNames() []string {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -43,6 +43,8 @@
 	// isolated is true while this host reaches neither an upstream nor another host that
 	// does.
 	isolated atomic.Bool
+	// crashesRemembered is true while the core needs the names of the contents of requests.
+	crashesRemembered atomic.Bool
 
 	// orders sends memory reservations to servers, broadcastReport sends a work
 	// report to all other hosts, broadcastLimit the limit that a server named,
@@ -135,6 +137,7 @@
 	if c.isolated.Swap(isolated) != isolated {
 		logevent.HostIsolated.Emit(c.logger, log.Fields{"isolated": isolated})
 	}
+	c.crashesRemembered.Store(c.core.CrashesRemembered())
 	c.metrics.Gauge("gateway_quarantined_parts", float64(c.core.QuarantinedParts()))
 	c.metrics.Gauge("gateway_queue_requests", float64(c.core.Waiting()))
 	c.metrics.Gauge("gateway_in_flight_requests", float64(c.core.InFlight()))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,8 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	requestNumber uint64
+	// contentName returns the name of the request's content.
+	contentName func() string
 
 	// responseStarted is true once the caller has got the header of an answer.
 	// lastEventID is the id of the last event of a stream that the caller has,
@@ -108,7 +110,7 @@
 		"after_ms": (x.clock.Now() - a.startedAt).Milliseconds(), "pieces": x.eventsSent,
 	}
 	if outcome.connectionBroken {
-		fields["content"] = x.inbound.contentName(x.r)
+		fields["content"] = x.contentName()
 	}
 	if outcome.restTime > 0 {
 		fields["rest_ms"] = outcome.restTime.Milliseconds()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +97,11 @@
 		return
 	}
 	x := &exchange{ingress: g, inbound: inbound, w: w, r: r, requestNumber: g.lastRequestNumber.Add(1), lastEventID: inbound.request.LastEventID}
+	x.contentName = sync.OnceValue(func() string { return inbound.contentName(r) })
+	if g.control.crashesRemembered.Load() {
+		// The control thread would hash the body otherwise.
+		x.contentName()
+	}
 	x.run()
 }
 
@@ -252,7 +258,7 @@
 	}
 	return balance.Arrived{
 		RequestNumber: x.requestNumber, ID: request.ID, Route: x.inbound.route, Service: x.inbound.route.ChooseService(request.ID),
-		SharedParts: request.SharedParts, Content: func() string { return x.inbound.contentName(x.r) }, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
+		SharedParts: request.SharedParts, Content: x.contentName, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
 		Priority: x.inbound.priority, Deadline: x.inbound.deadline,
 		Forwarded: x.inbound.forwarded, PriorRuns: x.inbound.priorRuns,
 	}
