Keep time for the answer of the host that a request was passed on to

A caller whose request both servers refused for lack of room was answered 504 instead of 503, in 19 of 48 runs of TestRefusalsAndFailuresAreTrueAcrossTwoHosts with the race detector beside 40 busy processes. Nothing false was told, as 504 promises nothing, but the caller could not know that it may come back.

Cause: the other host was given all the time that was left. It holds a request for room until 20 ms before that, so its refusal often came back too late.

Change: an eighth of the time left, 250 ms at most, is kept for the other host's answer.

--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -78,6 +78,9 @@
 	// that may have executed the request.
 	ToHost    bool
 	PriorRuns int
+	// ReplyBy is the time by which the other host must have ended the request, so that its
+	// refusal or failure comes back before Deadline; only with ToHost.
+	ReplyBy time.Duration
 	// LeaderLimited is set when the leader's last answer named a limit. Then the
 	// caller of the core reports by LimitObserved also that an answer names none.
 	LeaderLimited bool
--- a/internal/balance/forward.go
+++ b/internal/balance/forward.go
@@ -13,6 +13,10 @@
 	// cutOffMemory how long one counts.
 	cutOffInterval = time.Second
 	cutOffMemory   = 2500 * time.Millisecond
+	// replyTimeDivisor divides the time left to a request that is passed on; the result, at
+	// most maxReplyTime, is kept for the other host's answer to come back.
+	replyTimeDivisor = 8
+	maxReplyTime     = 250 * time.Millisecond
 )
 
 // tellCutOff tells the other hosts when this one is cut off from all servers, again and
@@ -115,6 +119,7 @@
 	f.outstanding++
 	c.emit(Send{
 		RequestNumber: r.RequestNumber, Attempt: r.attempt, Deadline: r.Deadline, ToHost: true, PriorRuns: r.possibleRuns,
+		ReplyBy:        r.Deadline - min(maxReplyTime, (r.Deadline-now)/replyTimeDivisor),
 		Members:        []Member{{Upstream: f.Host, Address: f.Address}},
 		ConnectTimeout: min(maxConnectTimeout, (r.Deadline-now)/connectTimeoutDivisor),
 	})
--- a/internal/balance/forward_test.go
+++ b/internal/balance/forward_test.go
@@ -230,3 +230,18 @@
 		})
 	}
 }
+
+// TestOtherHostRefusesInTimeForTheCaller guards against a request that is refused by the
+// host it was passed on to, and that its caller sees time out.
+func TestOtherHostRefusesInTimeForTheCaller(t *testing.T) {
+	g := NewWithT(t)
+	for timeLeft, kept := range map[time.Duration]time.Duration{time.Second: 125 * time.Millisecond, 10 * time.Second: maxReplyTime, 80 * time.Millisecond: 10 * time.Millisecond} {
+		c := newCutOffCore(t)
+		r := newArrival(1, safeRoute, "desk", 0, time.Second)
+		r.Deadline = time.Second + timeLeft
+		sent := firstSend(c.Step(time.Second, r))
+		g.Expect(sent.ToHost).To(BeTrue())
+		g.Expect(sent.Deadline).To(Equal(r.Deadline))
+		g.Expect(sent.Deadline - sent.ReplyBy).To(Equal(kept))
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,7 +55,7 @@
 
 // buildForward returns the request to another host that is to answer it.
 func (a *attempt) buildForward() httpcall.Call {
-	header := platform.ForwardHeader(a.r.Header, a.send.Deadline-a.startedAt, a.lastEventID)
+	header := platform.ForwardHeader(a.r.Header, a.send.ReplyBy-a.startedAt, a.lastEventID)
 	header.Set(headerPriorRuns, strconv.Itoa(a.send.PriorRuns))
 	return a.withBody(httpcall.Call{
 		Method: a.r.Method, Address: a.send.Members[0].Address, Host: a.r.Host, Path: a.r.RequestURI,
