Refuse what has waited for room until its deadline

A caller whose request had waited for room until its time was over got 504, although the request had not run and never would.

Cause: the core refuses at a tick, 20 ms at most before the deadline, and ticks come every 20 ms; the exchange's own timer at the deadline answered 504 without asking the core.

Change: the exchange tells the core that the time is over. What waits for room or for memory is refused if it has not run; an attempt that is under way ends by its own limit.

TestRequestThatWaitedUntilItsDeadlineIsRefused checks the core.

--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -110,6 +110,8 @@
 		c.handleAttemptFailed(e, now)
 	case CallerGone:
 		c.handleCallerGone(e, now)
+	case DeadlinePassed:
+		c.handleDeadlinePassed(e, now)
 	case LimitObserved:
 		c.handleLimitObserved(e, now)
 	case AnswerNotice:
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -167,6 +167,9 @@
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{ RequestNumber uint64 }
 
+// DeadlinePassed reports that the time of a request is over that no upstream has.
+type DeadlinePassed struct{ RequestNumber uint64 }
+
 // ReservationResult is the answer to a ReserveMemory effect.
 type ReservationResult struct {
 	RequestNumber uint64
@@ -257,6 +260,7 @@
 func (Finished) event()           {}
 func (AttemptFailed) event()      {}
 func (CallerGone) event()         {}
+func (DeadlinePassed) event()     {}
 func (ReservationResult) event()  {}
 func (UpstreamsChanged) event()   {}
 func (ServicesChanged) event()    {}
--- a/internal/balance/faults_test.go
+++ b/internal/balance/faults_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/chestnutline/chestnutline/internal/route"
 )
 
@@ -226,3 +228,23 @@
 		t.Error("the server counts as reachable again")
 	}
 }
+
+// TestRequestThatWaitedUntilItsDeadlineIsRefused guards against callers that are told
+// nothing about a request that has not run, since its time ended before the next tick.
+func TestRequestThatWaitedUntilItsDeadlineIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	r := newArrival(1, unsafeRoute, "desk", 0, 0)
+	r.Deadline = 100 * time.Millisecond
+	effects := c.Step(0, r)
+	for sent := firstSend(effects); sent != nil; sent = firstSend(effects) {
+		g.Expect(c.Step(time.Millisecond, DeadlinePassed{RequestNumber: 1})).To(BeEmpty(), "an attempt is under way")
+		effects = c.Step(time.Millisecond, AttemptFailed{RequestNumber: 1, Attempt: sent.Attempt, Class: FailureNoCapacity})
+	}
+	g.Expect(c.Waiting()).To(Equal(1))
+	refusal := firstRefuse(c.Step(100*time.Millisecond, DeadlinePassed{RequestNumber: 1}))
+	g.Expect(refusal).NotTo(BeNil())
+	g.Expect(refusal.Code).To(Equal(CodeOverloaded))
+	g.Expect(c.Waiting()).To(BeZero())
+	g.Expect(c.Step(100*time.Millisecond, DeadlinePassed{RequestNumber: 1})).To(BeEmpty())
+}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -436,3 +436,21 @@
 	delete(c.requests, r.RequestNumber)
 	c.removeFromQueue(r)
 }
+
+// handleDeadlinePassed ends a request that still waits for room or for memory: with a
+// refusal if it has not run. An attempt that is under way ends by its own time limit.
+func (c *Core) handleDeadlinePassed(e DeadlinePassed, now time.Duration) {
+	r := c.requests[e.RequestNumber]
+	if r == nil || r.forwardedTo != nil || r.sent && len(r.members) > 0 {
+		return
+	}
+	if len(r.members) > 0 {
+		c.endAttempt(r, FailureCallerLeft, now)
+	}
+	c.removeFromQueue(r)
+	r.lastCode = CodeOverloaded
+	if r.possibleRuns > 0 {
+		r.lastCode = CodeTimeLimit
+	}
+	c.endRequest(r, now)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,10 @@
 	upstream string
 }
 
+// decisionTimeout is how long the core's last word on a request whose time is over is
+// waited for.
+const decisionTimeout = 500 * time.Millisecond
+
 // run posts the request to the core and executes the core's effects until the
 // request has ended.
 func (x *exchange) run() {
@@ -54,12 +58,19 @@
 	x.control.post(x.arrivedEvent())
 	deadlineTimer := time.NewTimer(x.inbound.deadline - x.clock.Now())
 	defer deadlineTimer.Stop()
+	expired := false
 	for {
 		select {
 		case <-x.r.Context().Done():
 			x.handleCallerLeft(x.r.Context().Err())
 			return
 		case <-deadlineTimer.C:
+			if !expired {
+				expired = true
+				x.control.post(balance.DeadlinePassed{RequestNumber: x.requestNumber})
+				deadlineTimer.Reset(decisionTimeout)
+				continue
+			}
 			x.control.post(balance.CallerGone{RequestNumber: x.requestNumber})
 			x.failRequest(balance.CodeTimeLimit, false)
 			return
