Give the prompts of a test contents of their own

Cause: the three prompts that crash servers had the same target, organisation and (empty) body, so since contents can be blamed they were also one request sent three times. Part and content were quarantined together, each announced by itself, and the new host had heard of the content first. Prompts of the users are no two alike.

--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -35,9 +35,10 @@
 	NewWithT(t).Expect(h.logs.linesOf("r-1")).To(ContainElement(HaveKeyWithValue("parts", "5c,9a")))
 }
 
-// sendPrompt sends a request for a stream with the given parts of its prompt.
+// sendPrompt sends a request for a stream with the given parts of its prompt, and a body of
+// its own.
 func (h *testHost) sendPrompt(id, parts string) reply {
-	return h.send("POST", "/s/", "", standin.HeaderRequestID, id, standin.HeaderKey, standin.KeyHeaderValue("k1"),
+	return h.send("POST", "/s/", id, standin.HeaderRequestID, id, standin.HeaderKey, standin.KeyHeaderValue("k1"),
 		standin.HeaderUsage, "100,20", standin.HeaderPromptParts, parts)
 }
 
