Open a second connection to a server when the first takes long

Change: after 80 ms a second connection to the same server is opened, and the first that is open carries the request.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -45,6 +45,10 @@
 	// upstreamDialTimeout limits the time to connect to an upstream; every
 	// attempt has a shorter limit of its own.
 	upstreamDialTimeout = time.Second
+	// upstreamRedialAfter is after how long a second connection to an upstream is opened
+	// if the first one is not open yet: several round trips between the data centres of a
+	// region.
+	upstreamRedialAfter = 80 * time.Millisecond
 	// upstreamSilenceTimeout is how long a server may acknowledge nothing while
 	// its answer is awaited. Servers that hold memory for the request free it
 	// when that ends, which must be within 4 s of the end of the work that used
@@ -114,6 +118,7 @@
 	p.newWatchers()
 	httpClient := httpcall.New(httpcall.Config{
 		DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamDialTimeout, MaxIdle: 1, SilenceTimeout: upstreamSilenceTimeout,
+		RedialAfter:    upstreamRedialAfter,
 		MaxHeaderBytes: httpcall.DefaultMaxHeaderBytes, Dialer: s.upstreamDialer,
 	})
 	notices := &noticeReader{clock: p.clock, logger: logger, metrics: p.metrics, post: p.control.post}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -50,6 +50,10 @@
 	// A longer one tolerates more lost packets, a shorter one ends requests at
 	// servers that have gone dark sooner. It is rounded down to a multiple of 3 s.
 	SilenceTimeout time.Duration
+	// RedialAfter is after how long a second connection is opened for a call whose first
+	// one is not open yet; 0 for never. A shorter time hides lost packets better, a longer
+	// one opens fewer connections that are not needed.
+	RedialAfter time.Duration
 	// Dialer opens connections; nil means a net.Dialer with the limits above.
 	Dialer Dialer
 }
@@ -117,9 +121,13 @@
 
 // newTransport returns a transport whose connections count their writes.
 func (c *Client) newTransport() *http.Transport {
+	dialer := c.dialer
+	if c.config.RedialAfter > 0 {
+		dialer = redialer{dialer: dialer, after: c.config.RedialAfter}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := c.dialer.DialContext(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
