Let coordinators choose the servers in large fleets

Change: from 128 other hosts on, one host of each data centre chooses for all (docs/design/016-coordinators.md), and only coordinators hear of all work. Waiting requests are tried once in 20 ms. Work is found by an index from requests to servers. Ends come before the work of the same report. What reaches its deadline is a timeout (504).

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -104,6 +104,10 @@
 	// counts twice. Below it, the increase is in proportion to the number of
 	// hosts.
 	largeFleetHosts = 32.0
+	// helperDelayShare is the share of the delay of a helper's part that counts as a delay
+	// of its request, which waits only for the last of its parts. With a larger one,
+	// prompts are kept apart more, and wait longer for servers that others do not use.
+	helperDelayShare = 0.5
 	// failureCost is multiplied by the share of failures seen on an upstream.
 	failureCost = 2.0
 	// crowdedSlotShare is the share of occupied slots above which a server
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -17,9 +17,10 @@
 	bootNumber uint64
 
 	// upstreams holds the registered servers by id, servicePools those of each
-	// service by the service's name.
+	// service by the service's name. work finds the servers of a request.
 	upstreams    map[string]*upstream
 	servicePools map[string]*servicePool
+	work         workIndex
 	// departures holds what servers had said that are no longer registered, by id.
 	departures map[string]departure
 	// requests holds the host's own requests that have not ended, by request
@@ -28,6 +29,10 @@
 	// waiting lists the requests that have no upstream yet, in the order in
 	// which they are to be served.
 	waiting []*request
+	// lastPass is when the waiting requests were last tried. placementsTried counts how
+	// often servers were looked for.
+	lastPass        time.Duration
+	placementsTried uint64
 	// budgets holds the retry budget of each service, by the service's name.
 	budgets map[string]*retryBudget
 	// dataCentres lists the data centres that have upstreams.
@@ -40,6 +45,9 @@
 	forwarders []*forwarder
 	// otherHosts is the number of other hosts.
 	otherHosts int
+	// coordination is what this host knows and does where coordinators choose the servers
+	// of all requests.
+	coordination
 	// reportDelay is the time that a report of another host takes to arrive
 	// here.
 	reportDelay time.Duration
@@ -85,11 +93,13 @@
 		bootNumber:   bootNumber,
 		upstreams:    make(map[string]*upstream),
 		servicePools: make(map[string]*servicePool),
+		work:         make(workIndex),
 		departures:   make(map[string]departure),
 		requests:     make(map[uint64]*request),
 		budgets:      make(map[string]*retryBudget),
 		paths:        make(map[string]*pathState),
 		peers:        make(map[string]*peer),
+		coordination: newCoordination(),
 	}, nil
 }
 
@@ -131,6 +141,13 @@
 	case PeersChanged:
 		c.otherHosts, c.reportDelay = e.OtherHosts, e.ReportDelay
 		c.setForwarders(e.Forwarders)
+		c.setCoordinators(e.Coordinators, e.CoordinatedDataCentres)
+	case HostsAlive:
+		c.handleHostsAlive(e, now)
+	case PlacementQueried:
+		c.handlePlacementQueried(e, now)
+	case PlacementAnswered:
+		c.handlePlacementAnswered(e, now)
 	case ConnectionProbed:
 		c.handleConnectionProbed(e, now)
 	case HostCutOff:
@@ -151,20 +168,27 @@
 // handleTick removes work of other hosts that has expired, and renews the memory
 // reservations of this host's requests.
 func (c *Core) handleTick(now time.Duration) {
-	for _, u := range c.upstreams {
-		u.removeExpired(now)
-	}
+	c.removeExpiredWork(now)
 	c.renewReservations(now)
+	c.forgetAnswers(now)
 	c.updateQuarantine(now)
 	c.probePaths(now)
 	c.tellCutOff(now)
 }
 
-// Waiting returns the number of requests in the queue. The gateway exports it
-// as a gauge.
+// Waiting returns the number of requests in the queue: those of this host, and those of
+// other hosts for which it is to choose servers. The gateway exports it as a gauge.
 func (c *Core) Waiting() int { return len(c.waiting) }
 
-// InFlight returns the number of requests that have been given to an upstream,
-// including those whose memory is still being reserved. The gateway exports it
+// InFlight returns the number of this host's requests that have been given to an
+// upstream, including those whose memory is still being reserved. The gateway exports it
 // as a gauge.
-func (c *Core) InFlight() int { return len(c.requests) - len(c.waiting) }
+func (c *Core) InFlight() int {
+	inFlight := len(c.requests)
+	for _, r := range c.waiting {
+		if r.asker == nil {
+			inFlight--
+		}
+	}
+	return inFlight
+}
--- a/internal/balance/dump.go
+++ b/internal/balance/dump.go
@@ -15,6 +15,13 @@
 	InFlight int `json:"in_flight"`
 	// OtherHosts is the number of other hosts.
 	OtherHosts int `json:"other_hosts"`
+	// PlacementsTried counts how often servers were looked for since the start.
+	PlacementsTried uint64 `json:"placements_tried"`
+	// Coordinator is the host that chooses servers for this one; empty if it chooses them
+	// itself. Asked is the number of other hosts' requests that it has lately been asked
+	// about.
+	Coordinator string `json:"coordinator"`
+	Asked       int    `json:"asked"`
 }
 
 // UpstreamDump contains what the core knows about one upstream.
@@ -46,7 +53,10 @@
 // Dump returns a snapshot of the state at the given time, ordered by upstream
 // id.
 func (c *Core) Dump(now time.Duration) Dump {
-	d := Dump{Waiting: c.Waiting(), InFlight: c.InFlight(), OtherHosts: c.otherHosts}
+	d := Dump{
+		Waiting: c.Waiting(), InFlight: c.InFlight(), OtherHosts: c.otherHosts,
+		PlacementsTried: c.placementsTried, Coordinator: c.chooseCoordinator(now), Asked: len(c.asked),
+	}
 	for _, u := range c.upstreams {
 		load := u.load()
 		d.Upstreams = append(d.Upstreams, UpstreamDump{
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -108,6 +108,9 @@
 	FailureShare float64
 	// Cost is the cost of the placement, by which it was preferred to others.
 	Cost float64
+	// Coordinator is the name of the coordinator that made the choice; empty for this
+	// host.
+	Coordinator string
 }
 
 // ReserveMemory asks a server to reserve KV memory, or to renew a reservation.
@@ -156,6 +159,30 @@
 // BroadcastReport sends a report about this host's work to all other hosts.
 type BroadcastReport struct{ Report WorkReport }
 
+// QueryPlacement sends a question to a coordinator. A PlacementAnswered event may answer
+// it.
+type QueryPlacement struct {
+	// Host is the name of the coordinator.
+	Host  string
+	Query PlacementQuery
+}
+
+// AnswerPlacement sends an answer to a host that asked this one as a coordinator.
+type AnswerPlacement struct {
+	// Host is the name of the host that asked.
+	Host   string
+	Answer PlacementAnswer
+}
+
+// CoordinatorSilent reports that a coordinator did not answer in time and is avoided for
+// a while.
+type CoordinatorSilent struct {
+	// Host is the name of the coordinator.
+	Host string
+	// Silence is the time since the question.
+	Silence time.Duration
+}
+
 // UpstreamStateChanged reports that requests showed an upstream, or a whole
 // data centre, to be in trouble, and that it is avoided for a while.
 type UpstreamStateChanged struct {
@@ -248,6 +275,9 @@
 
 func (Send) effect()                 {}
 func (BroadcastCutOff) effect()      {}
+func (QueryPlacement) effect()       {}
+func (AnswerPlacement) effect()      {}
+func (CoordinatorSilent) effect()    {}
 func (ProbeConnection) effect()      {}
 func (BroadcastQuarantine) effect()  {}
 func (QuarantineChanged) effect()    {}
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -237,6 +237,29 @@
 	ReportDelay time.Duration
 	// Forwarders lists the other hosts to which requests can be passed on.
 	Forwarders []Forwarder
+	// Coordinators names the hosts of this data centre, in order of preference, of which
+	// the first that answers chooses the servers for all requests of the data centre. It
+	// is empty in a fleet in which each host chooses for itself. CoordinatedDataCentres
+	// is the number of data centres that have coordinators.
+	Coordinators           []string
+	CoordinatedDataCentres int
+}
+
+// HostsAlive lists the other hosts whose reports a coordinator has received lately.
+type HostsAlive struct{ Hosts []string }
+
+// PlacementQueried carries the question of another host to this one as a coordinator.
+type PlacementQueried struct {
+	// Host is the name of the host that asks.
+	Host  string
+	Query PlacementQuery
+}
+
+// PlacementAnswered carries a coordinator's answer to a question of this host.
+type PlacementAnswered struct {
+	// Host is the name of the coordinator.
+	Host   string
+	Answer PlacementAnswer
 }
 
 // Forwarder is another host to which requests can be passed on.
@@ -266,6 +289,9 @@
 func (ServicesChanged) event()    {}
 func (ReportReceived) event()     {}
 func (PeersChanged) event()       {}
+func (HostsAlive) event()         {}
+func (PlacementQueried) event()   {}
+func (PlacementAnswered) event()  {}
 func (QuarantineReported) event() {}
 func (HostCutOff) event()         {}
 func (ConnectionProbed) event()   {}
--- a/internal/balance/forward.go
+++ b/internal/balance/forward.go
@@ -113,6 +113,7 @@
 	if r.triedHosts == nil {
 		r.triedHosts = make(map[string]bool)
 	}
+	c.withdrawQuery(r)
 	r.triedHosts[f.Host] = true
 	r.attempt++
 	r.forwardedTo, r.sent, r.sentAt, r.waiting, r.firstPieceAt = f, true, now, false, 0
--- a/internal/balance/intake.go
+++ b/internal/balance/intake.go
@@ -104,8 +104,8 @@
 // place at the same time as this one: those that arrived since it has waited, and
 // while hosts do not know of each other's choices. A host sends one at a time.
 func (c *Core) contenders(r *request, now time.Duration) float64 {
-	hosts := float64(c.otherHosts + 1)
-	demand := hosts * c.budgetOfService(r.Service).requestRate(now, c.config.RetryWindow)
+	hosts := float64(c.placingHosts())
+	demand := hosts * c.placementRate(r.Service, now)
 	unaware := c.reportDelay + TickInterval
 	return min(hosts, demand*(now-r.queuedAt+unaware).Seconds())
 }
@@ -144,5 +144,5 @@
 			ahead++
 		}
 	}
-	return admitted < float64(ahead*(c.otherHosts+1)+1)
+	return admitted < float64(ahead*c.placingHosts()+1)
 }
--- /dev/null
+++ b/internal/balance/large_fleet_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/route"
+)
+
+// waveDataCentres is the number of data centres of the simulated fleet, waveServers that
+// of its model servers.
+const (
+	waveDataCentres = 5
+	waveServers     = 30
+)
+
+// Routes of the simulated waves: comments, threads and whole archives.
+var (
+	commentRoute = streamRoute("comment", 400*time.Millisecond, 250*time.Millisecond)
+	threadRoute  = streamRoute("thread", 1500*time.Millisecond, 600*time.Millisecond)
+	archiveRoute = streamRoute("archive", 3*time.Second, time.Second)
+)
+
+// waveEngine returns the figures of the model servers that the waves are played on.
+func waveEngine() *route.Engine {
+	e := testEngine()
+	e.Slots, e.StepsPerPass = 10, 68
+	e.StepTimePerContextToken = 4310 * time.Nanosecond / 1000
+	return e
+}
+
+// newFleetSimulation returns a simulation of the given number of hosts, spread over
+// waveDataCentres data centres with waveServers servers.
+func newFleetSimulation(hosts int, seed uint64) *simulation {
+	sim := newSimulation(PolicyPredict, hosts, waveServers, seed)
+	sim.engine = waveEngine()
+	var list []Upstream
+	for i := range waveServers {
+		id := fmt.Sprintf("i-%d", i)
+		list = append(list, Upstream{ID: id, Service: "llm", Address: id, DataCentre: fmt.Sprint("dc", i%waveDataCentres), Slots: sim.engine.Slots})
+	}
+	for i, core := range sim.cores {
+		core.config.DataCentre = fmt.Sprint("dc", i%waveDataCentres)
+		sim.step(i, ServicesChanged{Services: []*route.Service{{Name: "llm", Engine: sim.engine}}})
+		sim.step(i, UpstreamsChanged{Upstreams: list})
+	}
+	if hosts > 16 {
+		sim.setReportDelay(manyHostsReportDelay)
+	}
+	return sim
+}
+
+// coordinate makes the first two hosts of each data centre its coordinators.
+func (sim *simulation) coordinate() {
+	for i := range sim.cores {
+		dataCentre := i % waveDataCentres
+		sim.step(i, PeersChanged{
+			OtherHosts: len(sim.cores) - 1, ReportDelay: sim.reportDelay, CoordinatedDataCentres: waveDataCentres,
+			Coordinators: []string{fmt.Sprint("h", dataCentre), fmt.Sprint("h", dataCentre+waveDataCentres)},
+		})
+	}
+}
+
+// simulateWaves plays waves of comments and of archives that take turns, at a load of
+// the servers that does not depend on the number of hosts.
+func simulateWaves(hosts int, coordinated bool, seed uint64) *simulation {
+	const wave, waves = 4 * time.Second, 3
+	sim := newFleetSimulation(hosts, seed)
+	if coordinated {
+		sim.coordinate()
+	}
+	random := rand.New(rand.NewPCG(seed, 8))
+	for i := range waves {
+		comments, archives := 2.5, 0.05
+		if i%2 == 1 {
+			comments, archives = 0.37, 2.6
+		}
+		sim.schedule(time.Duration(i)*wave, func() {
+			until := sim.now + wave
+			sim.generateTraffic(random, commentRoute, 1.42*waveServers*comments, 4960, 0.9, 1537, until)
+			sim.generateTraffic(random, threadRoute, 0.112*waveServers, 45000, 0.5, 925, until)
+			sim.generateTraffic(random, archiveRoute, 0.0534*waveServers*archives, 190000, 0.55, 768, until)
+		})
+	}
+	sim.runUntil(waves*wave + 16*time.Second)
+	return sim
+}
+
+// sharesOfWaves returns the share of requests in time by route and over all, of several
+// plays.
+func sharesOfWaves(hosts int, coordinated bool, seeds uint64) map[string]float64 {
+	var all simulation
+	for seed := range seeds {
+		all.results = append(all.results, simulateWaves(hosts, coordinated, seed).results...)
+	}
+	shares := make(map[string]float64)
+	inTime := 0
+	for _, r := range all.results {
+		shares[r.route] = all.inTimeShare(r.route)
+		if r.inTime {
+			inTime++
+		}
+	}
+	shares["all"] = float64(inTime) / float64(len(all.results))
+	return shares
+}
+
+// TestLargeFleetsServeAsWellAsSmallOnes plays waves that change threefold, at the same
+// load for each server, to fleets of different sizes. It guards against placement that
+// gets worse with the number of hosts.
+func TestLargeFleetsServeAsWellAsSmallOnes(t *testing.T) {
+	const maxLoss, seeds = 0.03, 4
+	small := sharesOfWaves(30, true, seeds)
+	t.Log("30 hosts:", small)
+	for _, hosts := range []int{80, 300, 470} {
+		large := sharesOfWaves(hosts, true, seeds)
+		t.Log(hosts, "hosts:", large)
+		if large["all"] < small["all"]-maxLoss {
+			t.Errorf("%d hosts serve %.3f in time, 30 hosts %.3f", hosts, large["all"], small["all"])
+		}
+	}
+}
--- a/internal/balance/ledger.go
+++ b/internal/balance/ledger.go
@@ -44,11 +44,16 @@
 	expires time.Duration
 	// reportedAt is when a peer's report last named the work; 0 for own work.
 	reportedAt time.Duration
+	// granted is set while the work is known only from this host's choice for a peer, and
+	// no report of that peer has named it yet.
+	granted bool
 }
 
 // ledger lists the work that is known on one upstream.
 type ledger struct {
 	items []*workItem
+	// sum is the sum over all items.
+	sum loadSummary
 	// prefillDone is the time at which all known prefill is expected to be
 	// done.
 	prefillDone time.Duration
@@ -68,6 +73,7 @@
 // other prompts, so that it delays those that are still waiting for their
 // prefill. A leader's prefill comes after all prefill that is already known.
 func (l *ledger) add(w *workItem, now time.Duration) {
+	l.sum.count(w, 1)
 	if w.isLeader {
 		w.prefillEnd = max(l.prefillDone, now) + w.prefillTime
 		l.prefillDone = w.prefillEnd
@@ -109,23 +115,13 @@
 		if w.key == key {
 			l.completePrefill(w, now)
 			l.items = append(l.items[:i], l.items[i+1:]...)
+			l.sum.count(w, -1)
 			return true
 		}
 	}
 	return false
 }
 
-// removeExpired deletes work of other hosts whose end was never reported.
-func (l *ledger) removeExpired(now time.Duration) {
-	for i := 0; i < len(l.items); {
-		if w := l.items[i]; w.key.host != "" && now > w.expires {
-			l.remove(w.key, now)
-			continue
-		}
-		i++
-	}
-}
-
 // backlog returns the prefill time that is still to be done.
 func (l *ledger) backlog(now time.Duration) time.Duration {
 	return max(0, l.prefillDone-now)
@@ -143,21 +139,20 @@
 	memoryTokens  int
 }
 
-// load returns the sums over all work in the ledger.
-func (l *ledger) load() loadSummary {
-	var sum loadSummary
-	for _, w := range l.items {
-		sum.memoryTokens += w.memoryTokens
-		if w.isLeader {
-			sum.leaders++
-			sum.contextTokens += w.contextTokens
-		} else {
-			sum.helperParts++
-		}
+// count adds an item to the sums, or takes it out if times is -1.
+func (s *loadSummary) count(w *workItem, times int) {
+	s.memoryTokens += times * w.memoryTokens
+	if w.isLeader {
+		s.leaders += times
+		s.contextTokens += times * w.contextTokens
+	} else {
+		s.helperParts += times
 	}
-	return sum
 }
 
+// load returns the sums over all work in the ledger.
+func (l *ledger) load() loadSummary { return l.sum }
+
 // predictPause predicts the longest pause in the streams that this upstream
 // decodes, if the given prefill time, decoding requests and context tokens were
 // added to its work.
@@ -168,20 +163,26 @@
 
 // addedLatenessCost returns what more prefill on this upstream costs the
 // requests that are already there: how much later they are expected, compared
-// with their objectives. pauseBefore is the predicted pause without the new
+// with their objectives. A request whose prompt is being prefilled waits for the last of
+// its parts, so that the part that a helper prefills counts too. pauseBefore is the
+// predicted pause without the new
 // work and pauseAfter the one with it.
 func (l *ledger) addedLatenessCost(now, pauseBefore, pauseAfter time.Duration) float64 {
 	cost := 0.0
 	addedDelay := pauseAfter - pauseBefore
 	for _, w := range l.items {
 		switch {
-		case !w.isLeader:
+		case w.decoding && !w.isLeader:
 			continue
 		case w.decoding:
 			cost += w.weight * (latenessCost(pauseAfter, w.targetPieceGap) - latenessCost(pauseBefore, w.targetPieceGap))
 		default:
 			firstPieceDelay := max(w.prefillEnd, now) - w.arrivedAt
-			cost += w.weight * (latenessCost(firstPieceDelay+addedDelay, w.targetLatency) - latenessCost(firstPieceDelay, w.targetLatency))
+			delayCost := latenessCost(firstPieceDelay+addedDelay, w.targetLatency) - latenessCost(firstPieceDelay, w.targetLatency)
+			if !w.isLeader {
+				delayCost *= helperDelayShare
+			}
+			cost += w.weight * delayCost
 		}
 	}
 	return cost
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -25,6 +25,8 @@
 	// that falls on other requests.
 	cost         float64
 	costToOthers float64
+	// choice holds the inputs of the decision if another host made it, otherwise nil.
+	choice *PlacementChoice
 }
 
 // scoredUpstream is an upstream together with the cost of making it a member of
@@ -52,7 +54,7 @@
 	var untried, alreadyTried []*upstream
 	for _, u := range pool.upstreams {
 		switch {
-		case !u.usable(now), c.path(u.DataCentre).cut, !c.admits(u, r, now):
+		case !u.usable(now), c.path(u.DataCentre).cut, !c.admits(u, r, now), r.asker.avoids(u):
 		case r.tried[u.ID]:
 			alreadyTried = append(alreadyTried, u)
 		default:
@@ -297,7 +299,7 @@
 	if u.DataCentre != c.config.DataCentre {
 		scored.cost += remotePromptCost * r.weight / float64(parts)
 	}
-	scored.cost += jitterCost * float64(c.otherHosts) * c.random.Float64() * r.weight / float64(parts)
+	scored.cost += jitterCost * float64(c.placingHosts()-1) * c.random.Float64() * r.weight / float64(parts)
 	// The delay that this member's part of the prefill causes to the request
 	// counts too, so that members with a short backlog are preferred.
 	scored.cost += r.weight * latenessCost(now-r.arrivedAt+scored.firstPieceDelay, r.Route.TargetLatency) / float64(parts)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -22,7 +22,7 @@
 		c.endRequest(r, now)
 		return
 	}
-	if len(c.waiting) >= maxQueueLength || c.exceedsLimits(r, now) || c.restsTooLong(r, now) {
+	if len(c.waiting) >= c.maxWaiting() || c.exceedsLimits(r, now) || c.restsTooLong(r, now) {
 		r.lastCode = CodeOverloaded
 		c.endRequest(r, now)
 		return
@@ -76,6 +76,7 @@
 // handles bursts of long prompts, each of which would make the short streams of
 // all servers late.
 func (c *Core) placeOrPostpone(r *request, now time.Duration) *plan {
+	c.placementsTried++
 	p := c.place(r, now)
 	r.tooCostly = p != nil && r.Route.Kind == route.Stream && p.costToOthers > postponeCost*r.weight
 	if r.tooCostly {
@@ -102,6 +103,7 @@
 	c.waiting = nil
 	sort.SliceStable(queue, func(i, j int) bool { return servedBefore(queue[i], queue[j], now) })
 	var remaining []*request
+	pass := c.newPlacementPass(now)
 	for _, r := range queue {
 		switch {
 		case c.isQuarantined(r, now) && !r.isTrial:
@@ -115,11 +117,11 @@
 				r.lastCode = CodeUpstreamsUnreachable
 				c.endRequest(r, now)
 			}
-		case now < r.earliestRetry:
+		case now < r.earliestRetry, c.awaitsCoordinator(r, now):
 			remaining = append(remaining, r)
 		default:
-			if p := c.placeOrPostpone(r, now); p != nil {
-				c.startAttempt(r, p, now)
+			if p := pass.place(r, now); p != nil {
+				c.begin(r, p, now)
 			} else {
 				remaining = append(remaining, r)
 			}
@@ -128,6 +130,42 @@
 	c.waiting = append(remaining, c.waiting...)
 }
 
+// placementPass looks once through the waiting requests for those that can be placed.
+//
+// It answers the load of many events beside requests that wait for long: with hundreds of
+// reports a second, placing a long prompt anew at each of them takes all the time of a
+// slow host. There is a pass at most once in a TickInterval, and a request is not tried in
+// a pass in which a shorter one of its service did not fit.
+type placementPass struct {
+	core *Core
+	// due is set if requests are tried in this step at all.
+	due bool
+	// shortest holds the shortest prompt that did not fit, by service.
+	shortest map[string]int
+}
+
+// newPlacementPass returns the pass of the current step.
+func (c *Core) newPlacementPass(now time.Duration) *placementPass {
+	due := c.ticking || now-c.lastPass >= TickInterval
+	if due {
+		c.lastPass = now
+	}
+	return &placementPass{core: c, due: due, shortest: make(map[string]int)}
+}
+
+// place returns a plan for a request; nil if it has to wait on.
+func (p *placementPass) place(r *request, now time.Duration) *plan {
+	shortest, known := p.shortest[r.Service]
+	if !p.due || known && r.PromptTokens >= shortest {
+		return nil
+	}
+	chosen := p.core.placeOrPostpone(r, now)
+	if chosen == nil && len(r.tried) == 0 && !r.asker.isRestricted() {
+		p.shortest[r.Service] = r.PromptTokens
+	}
+	return chosen
+}
+
 // refuse gives the final answer to a request that was not executed.
 func (c *Core) refuse(r *request, code ErrorCode, now time.Duration) {
 	delete(c.requests, r.RequestNumber)
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // WorkReport is a host's report to the other hosts about its own work. Reports
 // may be lost. A full report, which is sent every fullReportInterval, corrects
@@ -87,29 +90,59 @@
 // receiveReport applies another host's report to the ledgers and to the health
 // of the upstreams.
 func (c *Core) receiveReport(host string, report WorkReport, now time.Duration) {
-	p := c.peers[host]
-	if p == nil {
-		p = &peer{lastReceived: now - 2*maxPeerSilence}
-		c.peers[host] = p
-	}
-	if now-p.lastReceived > maxPeerSilence {
-		c.quarantine.AnnounceSoon(now)
-	}
-	p.lastReceived = now
+	p := c.recordAlive(host, now)
 	if report.Full || report.Boot != p.bootNumber {
 		p.bootNumber = report.Boot
 		c.dropUnreportedWork(host, report.Work, now)
 	}
+	for _, e := range report.Ended {
+		c.recordEnd(host, e, now)
+	}
 	for _, reported := range report.Work {
 		c.recordReportedWork(host, reported, now)
 	}
 	for _, number := range report.Decoding {
 		c.recordDecoding(requestKey{host, number}, now)
 	}
-	for _, e := range report.Ended {
-		c.dropWork(requestKey{host, e.RequestNumber}, now)
-		if u := c.upstreams[e.Upstream]; u != nil && e.Class != FailureCallerLeft {
-			c.recordReportedOutcome(u, e.Class, now)
+}
+
+// recordEnd applies the end of another host's attempt, or of its question to this host.
+// It comes before the work of the same report, in which the request's next attempt may
+// be listed.
+func (c *Core) recordEnd(host string, e ReportedEnd, now time.Duration) {
+	key := requestKey{host, e.RequestNumber}
+	if e.Upstream == "" {
+		c.forgetAsked(key)
+	}
+	if !c.isOtherGrant(key, e.Upstream) {
+		c.dropWork(key, now)
+	}
+	if u := c.upstreams[e.Upstream]; u != nil && e.Class != FailureCallerLeft {
+		c.recordReportedOutcome(u, e.Class, now)
+		c.doubtPath(host, u, e.Class, now)
+	}
+}
+
+// recordAlive records that another host was heard of, and returns its state.
+func (c *Core) recordAlive(host string, now time.Duration) *peer {
+	p := c.peers[host]
+	if p == nil {
+		p = &peer{lastReceived: now - 2*maxPeerSilence}
+		c.peers[host] = p
+	}
+	if now-p.lastReceived > maxPeerSilence {
+		c.quarantine.AnnounceSoon(now)
+	}
+	p.lastReceived = now
+	return p
+}
+
+// handleHostsAlive records that other hosts were heard of by the one that passes their
+// reports on.
+func (c *Core) handleHostsAlive(e HostsAlive, now time.Duration) {
+	for _, host := range e.Hosts {
+		if host != c.config.Host {
+			c.recordAlive(host, now)
 		}
 	}
 }
@@ -121,16 +154,16 @@
 	for _, item := range reported {
 		stillActive[item.RequestNumber] = true
 	}
-	for _, u := range c.upstreams {
-		for i := 0; i < len(u.items); {
-			key := u.items[i].key
-			if key.host == host && !stillActive[key.requestNumber] {
-				u.remove(key, now)
-				continue
-			}
-			i++
+	var gone []uint64
+	for number := range c.work[host] {
+		if !stillActive[number] && !c.isFreshGrant(requestKey{host, number}, now) {
+			gone = append(gone, number)
 		}
 	}
+	slices.Sort(gone)
+	for _, number := range gone {
+		c.dropWork(requestKey{host, number}, now)
+	}
 }
 
 // recordReportedWork enters another host's work in the ledger of its upstream,
@@ -143,8 +176,12 @@
 		return
 	}
 	key := requestKey{host, reported.RequestNumber}
+	c.dropOtherGrant(key, reported.Upstream, now)
 	if known := u.find(key); known != nil {
 		known.reportedAt = now
+		if known.granted {
+			known.granted, known.expires = false, now+reported.TimeLeft+expiryMargin
+		}
 		if reported.Decoding {
 			u.completePrefill(known, now)
 		}
@@ -164,7 +201,7 @@
 	if reported.Decoding {
 		w.prefillTime = 0
 	}
-	u.add(w, now)
+	c.addWork(u, w, now)
 	if reported.Decoding {
 		u.completePrefill(w, now)
 	}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -65,10 +65,21 @@
 	content string
 	// isTrial is set when the request was let through in spite of a quarantine.
 	isTrial bool
+	// query is the state of the question to a coordinator, for a request that waits for
+	// its answer.
+	query query
+	// asker is the host that asks this one to choose the servers; nil for a request of
+	// this host.
+	asker *asker
 }
 
 // key returns the key of the request in the ledgers.
-func (r *request) key() requestKey { return requestKey{requestNumber: r.RequestNumber} }
+func (r *request) key() requestKey {
+	if r.asker != nil {
+		return requestKey{r.asker.host, r.RequestNumber}
+	}
+	return requestKey{requestNumber: r.RequestNumber}
+}
 
 // handleArrived places a new request, puts it into the queue or refuses it.
 func (c *Core) handleArrived(e Arrived, now time.Duration) {
@@ -88,9 +99,18 @@
 		c.refuse(r, CodePromptQuarantined, now)
 		return
 	}
-	if p := c.placeOrPostpone(r, now); p != nil {
-		c.startAttempt(r, p, now)
-		return
+	c.placeOrEnqueue(r, now)
+}
+
+// placeOrEnqueue starts an attempt of a request if there is capacity, and lets it wait
+// otherwise. A request whose servers a coordinator chooses waits for its answer.
+func (c *Core) placeOrEnqueue(r *request, now time.Duration) {
+	r.waiting = false
+	if r.query.declined || c.chooseCoordinator(now) == "" {
+		if p := c.placeOrPostpone(r, now); p != nil {
+			c.startAttempt(r, p, now)
+			return
+		}
 	}
 	c.enqueue(r, now)
 }
@@ -160,20 +180,8 @@
 	r.sent, r.waiting = false, false
 	r.firstPieceAt = 0
 	for i, u := range p.members {
-		w := &workItem{
-			key: r.key(), isLeader: i == 0, prefillTime: p.partPrefillTime,
-			weight: r.weight, targetLatency: r.Route.TargetLatency, targetPieceGap: r.Route.TargetPieceGap,
-			arrivedAt: r.arrivedAt, expires: r.Deadline,
-		}
-		switch {
-		case i < p.memoryHolders:
-			w.memoryTokens = p.reservedTokens
-			w.contextTokens = r.PromptTokens / p.memoryHolders
-		case i == 0:
-			w.memoryTokens = r.PromptTokens + r.AnswerTokens
-			w.contextTokens = r.PromptTokens
-		}
-		u.add(w, now)
+		w := newWorkItem(r, p, i)
+		c.addWork(u, w, now)
 		u.intake.recordStart(now)
 		c.queueWorkReport(u, w, r, now)
 	}
@@ -184,6 +192,24 @@
 	c.sendAttempt(r, p, now)
 }
 
+// newWorkItem returns the work that a plan gives to one of its members.
+func newWorkItem(r *request, p *plan, member int) *workItem {
+	w := &workItem{
+		key: r.key(), isLeader: member == 0, prefillTime: p.partPrefillTime,
+		weight: r.weight, targetLatency: r.Route.TargetLatency, targetPieceGap: r.Route.TargetPieceGap,
+		arrivedAt: r.arrivedAt, expires: r.Deadline,
+	}
+	switch {
+	case member < p.memoryHolders:
+		w.memoryTokens = p.reservedTokens
+		w.contextTokens = r.PromptTokens / p.memoryHolders
+	case member == 0:
+		w.memoryTokens = r.PromptTokens + r.AnswerTokens
+		w.contextTokens = r.PromptTokens
+	}
+	return w
+}
+
 // sendAttempt hands the current attempt to the leader, with its helpers and
 // time limits. The limits for the pieces of the answer are set only if another
 // attempt would be allowed when they are exceeded.
@@ -196,7 +222,7 @@
 		Urgency:        urgency(r),
 		ConnectTimeout: min(maxConnectTimeout, (r.Deadline-now)/connectTimeoutDivisor),
 		LeaderLimited:  p.members[0].intake.limit > 0,
-		Choice:         c.placementChoice(p, now),
+		Choice:         c.choiceOf(p, now),
 	}
 	for i, u := range p.members {
 		s.Members[i] = Member{Upstream: u.ID, Address: u.Address}
@@ -251,6 +277,15 @@
 	return min(lowest, max(0, rank))
 }
 
+// choiceOf returns the inputs of the decision for a plan: those that the coordinator sent
+// with it, or those known here.
+func (c *Core) choiceOf(p *plan, now time.Duration) PlacementChoice {
+	if p.choice != nil {
+		return *p.choice
+	}
+	return c.placementChoice(p, now)
+}
+
 // placementChoice returns the inputs of the decision for a plan, for logs.
 func (c *Core) placementChoice(p *plan, now time.Duration) PlacementChoice {
 	u := p.members[0]
@@ -278,21 +313,6 @@
 	c.pendingReport.Decoding = append(c.pendingReport.Decoding, r.RequestNumber)
 }
 
-// recordDecoding ends the prefill of a prompt on all its members. Helpers that
-// hold no memory have no more to do with the request.
-func (c *Core) recordDecoding(key requestKey, now time.Duration) {
-	for _, u := range c.upstreams {
-		w := u.find(key)
-		if w == nil {
-			continue
-		}
-		u.completePrefill(w, now)
-		if !w.isLeader && w.memoryTokens == 0 {
-			u.remove(key, now)
-		}
-	}
-}
-
 // handleFinished ends a request whose answer was delivered whole.
 func (c *Core) handleFinished(e Finished, now time.Duration) {
 	r := c.requestOfAttempt(e.RequestNumber, e.Attempt)
@@ -339,13 +359,6 @@
 	r.members, r.reservations, r.unconfirmed, r.pendingPlan = nil, nil, 0, nil
 }
 
-// dropWork removes the work of a request from all ledgers.
-func (c *Core) dropWork(key requestKey, now time.Duration) {
-	for _, u := range c.upstreams {
-		u.remove(key, now)
-	}
-}
-
 // handleAttemptFailed records the failure against the member at fault and
 // retries the request if that is allowed.
 func (c *Core) handleAttemptFailed(e AttemptFailed, now time.Duration) {
@@ -386,17 +399,17 @@
 // retry starts another attempt of a request, or puts it into the queue, if
 // another attempt is allowed and may succeed. Otherwise it ends the request.
 func (c *Core) retry(r *request, now time.Duration) {
-	if r.possibleRuns > 0 && (!r.Route.Repeatable() || r.possibleRuns >= r.Route.MaxRuns) {
+	if r.Deadline-now < minTimeLeft && !r.lastWasUpstreamError {
+		r.lastCode = CodeTimeLimit
 		c.endRequest(r, now)
 		return
 	}
-	if c.isQuarantined(r, now) {
-		r.lastCode = CodePromptQuarantined
+	if r.possibleRuns > 0 && (!r.Route.Repeatable() || r.possibleRuns >= r.Route.MaxRuns) {
 		c.endRequest(r, now)
 		return
 	}
-	if r.Deadline-now < minTimeLeft {
-		r.lastCode = CodeTimeLimit
+	if c.isQuarantined(r, now) {
+		r.lastCode = CodePromptQuarantined
 		c.endRequest(r, now)
 		return
 	}
@@ -405,16 +418,17 @@
 		c.endRequest(r, now)
 		return
 	}
-	if p := c.placeOrPostpone(r, now); p != nil {
-		c.startAttempt(r, p, now)
-		return
-	}
 	r.queuedAt = now
-	c.enqueue(r, now)
+	c.placeOrEnqueue(r, now)
 }
 
 // endRequest gives the final answer to a request that will not be tried again.
 func (c *Core) endRequest(r *request, now time.Duration) {
+	if r.asker != nil {
+		c.refuseAsked(r, now)
+		return
+	}
+	c.withdrawQuery(r)
 	if r.possibleRuns == 0 {
 		c.refuse(r, r.lastCode, now)
 		return
@@ -433,6 +447,7 @@
 		c.endAttempt(r, FailureCallerLeft, now)
 	}
 	c.endForward(r)
+	c.withdrawQuery(r)
 	delete(c.requests, r.RequestNumber)
 	c.removeFromQueue(r)
 }
--- a/internal/balance/simulation_test.go
+++ b/internal/balance/simulation_test.go
@@ -309,12 +309,35 @@
 		sim.schedule(5*time.Millisecond, func() { delete(sim.reservedTokens, e.Member.ReservationID+e.Member.Upstream) })
 	case BroadcastReport:
 		sim.broadcast(host, ReportReceived{Host: fmt.Sprint("h", host), Report: e.Report})
+	case QueryPlacement:
+		sim.tellHost(host, e.Host, PlacementQueried{Host: fmt.Sprint("h", host), Query: e.Query})
+	case AnswerPlacement:
+		sim.tellHost(host, e.Host, PlacementAnswered{Host: fmt.Sprint("h", host), Answer: e.Answer})
 	}
 }
 
+// queryDelay is the time that a message takes between a host and its coordinator.
+const queryDelay = time.Millisecond
+
+// tellHost delivers an event of one host to another of its data centre.
+func (sim *simulation) tellHost(from int, name string, e Event) {
+	var to int
+	if _, err := fmt.Sscanf(name, "h%d", &to); err != nil {
+		panic(err)
+	}
+	if sim.cutOff[from] || sim.cutOff[to] {
+		return
+	}
+	sim.schedule(queryDelay, func() { sim.step(to, e) })
+}
+
 // broadcast delivers an event of one host to all others that it reaches.
 func (sim *simulation) broadcast(host int, e Event) {
-	for other := range sim.cores {
+	_, isReport := e.(ReportReceived)
+	for other, core := range sim.cores {
+		if isReport && len(core.coordinators) > 0 && !core.coordinates() {
+			continue
+		}
 		if other != host && !sim.cutOff[host] && !sim.cutOff[other] {
 			sim.schedule(sim.reportDelay, func() { sim.step(other, e) })
 		}
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -143,6 +143,7 @@
 		}
 	}
 	c.rememberDepartures(next, now)
+	c.forgetWorkOfReplaced(next)
 	c.upstreams = next
 	c.updateDataCentres()
 	c.sortPools()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -60,10 +60,15 @@
 	broadcastRest        func(balance.UpstreamResting)
 	broadcastLeaving     func(upstream string, incarnation int64)
 	removeExpiredServers func()
+
+	// queryPlacement sends a question to a coordinator, answerPlacement an answer to the
+	// host that asked, and avoidCoordinator is called when a coordinator is silent.
+	queryPlacement   func(balance.QueryPlacement)
+	answerPlacement  func(balance.AnswerPlacement)
+	avoidCoordinator func(host string)
 }
 
-// newControl returns a control whose fields orders, broadcastReport, broadcastLimit,
-// broadcastQuarantine, broadcastCutOff, broadcastRest, broadcastLeaving and
+// newControl returns a control whose functions for messages to other hosts, orders and
 // removeExpiredServers are still to be set.
 func newControl(core *balance.Core, c clock.Clock, logger log.Interface, metrics *telemetry.Registry) *control {
 	return &control{
@@ -176,6 +181,16 @@
 		if e.Host == "" {
 			c.broadcastLeaving(e.Upstream, e.Incarnation)
 		}
+	case balance.QueryPlacement:
+		c.metrics.Count("gateway_placement_queries_total", 1)
+		c.queryPlacement(e)
+	case balance.AnswerPlacement:
+		c.metrics.Count("gateway_placement_answers_total", 1, "outcome", e.Answer.Outcome.String())
+		c.answerPlacement(e)
+	case balance.CoordinatorSilent:
+		c.metrics.Count("gateway_coordinator_silences_total", 1)
+		logevent.CoordinatorSilent.Emit(c.logger, log.Fields{"host": e.Host, "silence_ms": e.Silence.Milliseconds()})
+		c.avoidCoordinator(e.Host)
 	case balance.ProbeConnection:
 		go c.probe(e)
 	case balance.BroadcastQuarantine:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -212,11 +212,11 @@
 	}
 	logevent.RoutedSent.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "route": x.inbound.route.Name, "attempt": send.Attempt, "upstream": x.upstream,
-		"parts": strings.Join(x.inbound.request.SharedParts, ","), "helpers": len(send.Members) - 1, "reserved": send.Members[0].ReservedTokens, "prompt": x.inbound.request.PromptTokens,
+		"parts": strings.Join(x.inbound.request.SharedParts, ","), "helpers": helperNames(send), "reserved": send.Members[0].ReservedTokens, "prompt": x.inbound.request.PromptTokens,
 		"configuration": x.inbound.configuration.Version, "configuration_age_ms": (x.clock.Now() - x.inbound.configuration.activeSince).Milliseconds(),
 		"predicted_ms": send.Choice.PredictedFirstPiece.Milliseconds(), "backlog_ms": send.Choice.Backlog.Milliseconds(),
 		"requests_there": send.Choice.RequestsKnown, "from_peers": send.Choice.RequestsFromPeers, "oldest_peer_ms": send.Choice.OldestReportAge.Milliseconds(),
-		"failure_share": send.Choice.FailureShare, "cost": send.Choice.Cost,
+		"failure_share": send.Choice.FailureShare, "cost": send.Choice.Cost, "chosen_by": send.Choice.Coordinator,
 		"held_ms": (x.clock.Now() - x.inbound.arrivedAt).Milliseconds(),
 	})
 	x.metrics.Count("gateway_sent_total", 1)
@@ -226,6 +226,15 @@
 	x.metrics.Observe("gateway_queue_seconds", x.clock.Now()-x.inbound.arrivedAt)
 }
 
+// helperNames returns the ids of the servers that help with an attempt, for logs.
+func helperNames(send balance.Send) string {
+	names := make([]string, 0, len(send.Members))
+	for _, m := range send.Members[1:] {
+		names = append(names, m.Upstream)
+	}
+	return strings.Join(names, ",")
+}
+
 // logDelivered logs and counts an answer that was delivered whole.
 func (x *exchange) logDelivered(send balance.Send) {
 	total := x.clock.Now() - x.inbound.arrivedAt
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -96,16 +96,15 @@
 
 // updateMembers applies changed registrations of hosts.
 func (p *peers) updateMembers(objects []platform.Object) {
-	forwarders := p.applyRegistrations(objects)
-	others := p.otherHosts()
+	changed := p.applyRegistrations(objects)
 	// The lock is not held here, because the control thread may be waiting for
 	// it to broadcast a report.
-	p.post(balance.PeersChanged{OtherHosts: others, ReportDelay: reportDelay(others), Forwarders: forwarders})
+	p.post(changed)
 }
 
 // applyRegistrations adds, replaces and removes members by their registrations,
-// and returns the hosts to which requests can be passed on.
-func (p *peers) applyRegistrations(objects []platform.Object) []balance.Forwarder {
+// and returns what has changed for the core.
+func (p *peers) applyRegistrations(objects []platform.Object) balance.PeersChanged {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range objects {
@@ -132,14 +131,9 @@
 	}
 	p.relays.setHosts(all)
 	p.expectUpdates()
-	return p.forwarders()
-}
-
-// otherHosts returns the number of other hosts.
-func (p *peers) otherHosts() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.members)
+	changed := balance.PeersChanged{OtherHosts: len(p.members), ReportDelay: reportDelay(len(p.members)), Forwarders: p.forwarders()}
+	changed.Coordinators, changed.CoordinatedDataCentres = p.coordinators()
+	return changed
 }
 
 // signalSelfRemoved makes this host write its entry again.
@@ -250,8 +244,8 @@
 	}
 }
 
-// sendBatch sends the collected reports to the hosts of this data centre, and
-// those that come from it also to the relays of the other data centres.
+// sendBatch sends the collected reports to the hosts of this data centre that choose
+// servers, and those that come from it also to the relays of the other data centres.
 func (p *peers) sendBatch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -260,7 +254,7 @@
 	}
 	collected := p.batch
 	p.batch = batch{}
-	p.sendToMembers(p.self.dataCentre, message{Stage: toMembers, Reports: collected.forMembers})
+	p.sendToInformed(message{Stage: toMembers, Reports: collected.forMembers})
 	if len(collected.forRelays) == 0 {
 		return
 	}
@@ -286,6 +280,12 @@
 			err = p.receiveLeaving(carrier)
 		case topicCutOff:
 			err = p.receiveCutOff(carrier)
+		case topicPlacementQuery:
+			err = p.receivePlacementQuery(carrier)
+		case topicPlacementAnswer:
+			err = p.receivePlacementAnswer(carrier)
+		case topicHostsAlive:
+			err = p.receiveHostsAlive(carrier)
 		default:
 			err = p.receiveWork(carrier)
 		}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -129,6 +129,9 @@
 	p.control.broadcastCutOff = p.peers.broadcastCutOff
 	p.control.broadcastRest = p.peers.broadcastRest
 	p.control.broadcastLeaving = p.peers.broadcastLeaving
+	p.control.queryPlacement = p.peers.queryPlacement
+	p.control.answerPlacement = p.peers.answerPlacement
+	p.control.avoidCoordinator = p.peers.avoidCoordinator
 	p.control.removeExpiredServers = p.storeView.removeExpiredServers
 	p.ingress = &ingress{
 		clock: p.clock, logger: logger, metrics: p.metrics, storeView: p.storeView,
@@ -239,6 +242,7 @@
 	g.Add(func() error { return p.control.run(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.watchStore(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.peers.runRelay(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return p.peers.runAlive(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return p.reloadOnHangup(ctx) }, func(error) { cancel() })
 	g.Add(stop.OnSignal(nil, p.stop))
 	logevent.ProcessStarted.Emit(p.logger, log.Fields{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -119,8 +119,8 @@
 // same relay while they know the same members. It returns false if the data
 // centre has no hosts.
 func (r *relaySelector) choose(dataCentre string, now time.Duration) (member, bool) {
-	list := r.members[dataCentre]
-	for _, m := range list[:min(relayCandidates, len(list))] {
+	list := r.candidates(dataCentre)
+	for _, m := range list {
 		if now >= r.avoidedUntil[m.address] {
 			return m, true
 		}
@@ -131,6 +131,19 @@
 	return list[0], true
 }
 
+// candidates returns the hosts of a data centre that may become its relay, in the order in
+// which they are chosen.
+func (r *relaySelector) candidates(dataCentre string) []member {
+	list := r.members[dataCentre]
+	return list[:min(relayCandidates, len(list))]
+}
+
+// avoid keeps messages away from a relay for relayAvoidTime.
+func (r *relaySelector) avoid(address string, now time.Duration) {
+	r.avoidedUntil[address] = now + relayAvoidTime
+	delete(r.unconnectedSince, address)
+}
+
 // rank returns a host's position in the order in which the hosts of its data
 // centre are chosen. A host that is not known comes after all others.
 func (r *relaySelector) rank(dataCentre, host string) int {
@@ -157,8 +170,7 @@
 		return
 	}
 	if now-since > relayConnectTimeout {
-		r.avoidedUntil[address] = now + relayAvoidTime
-		delete(r.unconnectedSince, address)
+		r.avoid(address, now)
 	}
 }
 
