--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -122,6 +122,9 @@
 	// takes when several servers hold it, so that the other streams of these
 	// servers keep enough memory.
 	holderMemoryShare = 0.5
+	// maxCandidates is the largest number of upstreams that are compared for a request.
+	// With more, a choice may be better, and takes more time.
+	maxCandidates = 384
 	// maxHelpers is the largest number of further servers that may share the
 	// prefill of a prompt.
 	maxHelpers = 15
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -62,9 +62,29 @@
 		}
 	}
 	if len(untried) > 0 {
-		return untried
+		return c.limitCandidates(untried)
 	}
-	return alreadyTried
+	return c.limitCandidates(alreadyTried)
+}
+
+// limitCandidates bounds the time of a choice among many upstreams: it keeps those of this
+// data centre and a random part of the others, maxCandidates in all.
+func (c *Core) limitCandidates(list []*upstream) []*upstream {
+	if len(list) <= maxCandidates {
+		return list
+	}
+	var near, far []*upstream
+	for _, u := range list {
+		if u.DataCentre == c.config.DataCentre {
+			near = append(near, u)
+		} else {
+			far = append(far, u)
+		}
+	}
+	for _, group := range [][]*upstream{near, far} {
+		c.random.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
+	return append(near, far...)[:maxCandidates]
 }
 
 // place chooses upstreams for a request. It returns nil if none has enough
--- a/internal/gateway/coordination.go
+++ b/internal/gateway/coordination.go
@@ -193,17 +193,24 @@
 		return errors.Wrap(err, "decode the hosts that are alive")
 	}
 	p.recordKnownRevisions(m.KnownRevisions)
+	p.post(balance.HostsAlive{Hosts: p.recordAlive(m.Hosts)})
+	return nil
+}
+
+// recordAlive records that hosts are alive, and returns those that are registered.
+func (p *peers) recordAlive(hosts []string) []string {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.clock.Now()
-	for _, host := range m.Hosts {
+	var registered []string
+	for _, host := range hosts {
 		if other, known := p.members[host]; known {
 			other.lastReceived = now
 			p.members[host] = other
+			registered = append(registered, host)
 		}
 	}
-	p.mu.Unlock()
-	p.post(balance.HostsAlive{Hosts: m.Hosts})
-	return nil
+	return registered
 }
 
 // recordKnownRevisions records the revisions of the store that another host knows of.
--- a/internal/gateway/coordination_test.go
+++ b/internal/gateway/coordination_test.go
@@ -145,6 +145,17 @@
 	g.Expect(changed[0].Coordinators).To(BeEmpty())
 }
 
+// TestUnregisteredHostsAreNotAlive guards against a list of names that no host has, which
+// would be kept for ever.
+func TestUnregisteredHostsAreNotAlive(t *testing.T) {
+	g := NewWithT(t)
+	f := startLargeFleet(t, "k1", "m")
+	carrier, ok := f.peers["k1"].encodeContent(topicHostsAlive, hostsAliveMessage{Hosts: []string{"nobody", "k1"}})
+	g.Expect(ok).To(BeTrue())
+	f.peers["m"].receive("192.0.2.1:1", carrier)
+	g.Expect(eventsOf[balance.HostsAlive](f.recorders["m"])).To(Equal([]balance.HostsAlive{{Hosts: []string{"k1"}}}))
+}
+
 // TestBadMessagesOfCoordinatorsAreRefused sends what can't be decoded or can't be true.
 func TestBadMessagesOfCoordinatorsAreRefused(t *testing.T) {
 	g := NewWithT(t)
