Count only events with fields as progress of a stream

Cause: a server that stalls and goes on sending comments restarted the time limit for the next event with each of them, so its stream ended only at the deadline. Change: an event of comments alone is passed on and does not restart the limit. Measured: TestStalledStreamsAreContinuedElsewhere fails before (pinging, 5 s until the deadline) and passes; single bytes were no progress before either.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,27 @@
 	expectStreamFromTheOtherServer(t, standin.UnframedEmpty)
 }
 
+// TestStalledStreamsAreContinuedElsewhere guards against streams that never end because
+// their server sends a byte, or a comment, now and then.
+func TestStalledStreamsAreContinuedElsewhere(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Dripping, standin.Pinging} {
+		t.Run(string(fault), func(t *testing.T) {
+			g := NewWithT(t)
+			h, _, engines, _ := setUp(t)
+			setFault(engines, fault)
+			for _, s := range engines {
+				s.EventCount = 4
+			}
+			start := time.Now()
+			answer := h.sendPrompt("r-1", "5c:40,own:20")
+			g.Expect(answer.readError).NotTo(HaveOccurred())
+			g.Expect(strings.ReplaceAll(answer.body, ": still here\n\n", "")).To(Equal(expectedStream("r-1", 4)))
+			g.Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second), "not held until the deadline")
+			g.Expect(receivedCount(engines)).To(Equal(2))
+		})
+	}
+}
+
 // TestEndlessBytesAreCutOff guards against servers that send a header or a body
 // without end until the host closes the connection.
 func TestEndlessBytesAreCutOff(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,8 @@
 type streamEvent struct {
 	id  int64
 	raw []byte
+	// hasFields is false if the event consists of comments alone.
+	hasFields bool
 }
 
 // readEvent reads one event. It returns io.EOF when the stream ends between two
@@ -54,6 +56,7 @@
 		if len(trimmed) == 0 {
 			return e, nil
 		}
+		e.hasFields = e.hasFields || trimmed[0] != ':'
 		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			if err != nil {
@@ -77,7 +80,10 @@
 		if err != nil {
 			return a.classifyInterrupted(err)
 		}
-		a.restartWatchdog(a.send.PieceTimeout)
+		if e.hasFields {
+			// A server that has stalled may go on sending comments.
+			a.restartWatchdog(a.send.PieceTimeout)
+		}
 		if e.id != noEventID && e.id <= a.lastEventID {
 			continue
 		}
