Call a failing store less often where others watch it

Cause: when the store fails, nobody forwards its answers, and each host of a large fleet calls it for all three kinds again and again, 0.1 to 0.8 s apart. Change: hosts that do not watch for others pause longer from the second failure in a row on; their pauses end with the first answer that reaches them.

--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -22,6 +22,11 @@
 	// pause is doubled for each host that goes before this one in its data
 	// centre, but at most this many times; see maxBackoff.
 	maxBackoffDoublings = 2
+	// minFollowerBackoff and maxFollowerBackoff limit the pause after repeated failures on
+	// hosts that do not watch for others, for the kind that does not await others. The
+	// longest one ends in time after a cut of the host.
+	minFollowerBackoff = 400 * time.Millisecond
+	maxFollowerBackoff = 1600 * time.Millisecond
 )
 
 // storeUpdate is what a host that watches the store forwards to other hosts:
@@ -228,14 +233,37 @@
 	}
 }
 
+// nextBackoff returns the pause after a failed call that followed a pause of the given
+// length; 0 stands for a call that succeeded. After the second failure in a row a host on
+// whose updates no others rely pauses for longer at once: it learns from other hosts that
+// the store answers again, and its other kinds from the one that does not await others.
+func (w *watcher) nextBackoff(last time.Duration) time.Duration {
+	switch {
+	case last == 0:
+		return minStoreBackoff
+	case w.group == nil || w.group.rank() < relayCandidates:
+		return min(2*last, w.maxBackoff())
+	case w.awaitsOthers:
+		return w.maxBackoff()
+	default:
+		return min(max(2*last, minFollowerBackoff), w.maxBackoff())
+	}
+}
+
 // maxBackoff returns the longest pause after a failed call. A host whose updates
-// the others do not rely on calls less often while the store fails, except for one
-// kind: the answer for that kind ends the pauses of the others.
+// the others do not rely on calls less often while the store fails, and less still for
+// all kinds but one: the answer for that kind ends the pauses of the others.
 func (w *watcher) maxBackoff() time.Duration {
-	if w.group == nil || !w.awaitsOthers {
+	switch {
+	case w.group == nil:
+		return maxStoreBackoff
+	case w.awaitsOthers:
+		return maxStoreBackoff << min(maxBackoffDoublings, w.group.rank())
+	case w.group.rank() >= relayCandidates:
+		return maxFollowerBackoff
+	default:
 		return maxStoreBackoff
 	}
-	return maxStoreBackoff << min(maxBackoffDoublings, w.group.rank())
 }
 
 // receivesUpdates implements watchGroup. In a small fleet every host watches
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -446,6 +446,32 @@
 
 // TestMissedChangesEndABackoff guards against a host that hears from another one
 // that it missed changes and still waits before it calls the store.
+// TestFollowersCallAFailingStoreRarely guards against outages in which each host of a large
+// fleet calls the store again and again for each kind, which no answer would come faster
+// for.
+func TestFollowersCallAFailingStoreRarely(t *testing.T) {
+	for _, awaitsOthers := range []bool{false, true} {
+		t.Run(fmt.Sprint("awaits others ", awaitsOthers), func(t *testing.T) {
+			g := NewWithT(t)
+			store := standin.NewStore()
+			t.Cleanup(store.Close)
+			store.SetDown(true)
+			client := platform.NewStore(store.Address(), time.Second, time.Second, func(platform.StoreCall) {})
+			t.Cleanup(client.Close)
+			w := newTestWatcher(client)
+			w.group, w.awaitsOthers = laggingGroup{}, awaitsOthers
+			ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+			defer cancel()
+			w.run(ctx)
+			most := 6
+			if awaitsOthers {
+				most = 3
+			}
+			g.Expect(store.CallCount()).To(BeNumerically("<=", most))
+		})
+	}
+}
+
 func TestMissedChangesEndABackoff(t *testing.T) {
 	g := NewWithT(t)
 	store := standin.NewStore()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -202,7 +202,7 @@
 // host that watches the store for this one as long as they arrive, and calls
 // the store itself otherwise.
 func (w *watcher) run(ctx context.Context) {
-	backoff := minStoreBackoff
+	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		following := w.shouldFollow()
 		w.logFollowing(following)
@@ -215,7 +215,7 @@
 		err := w.fetchOnce(ctx, revision)
 		switch {
 		case err == nil:
-			backoff = minStoreBackoff
+			backoff = 0
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, platform.ErrHistoryGone):
@@ -223,10 +223,9 @@
 			w.requireList()
 		default:
 			w.recordStoreLost(revision, err)
+			backoff = w.nextBackoff(backoff)
 			if w.pauseCalls(ctx, backoff/2+rand.N(backoff)) {
-				backoff = minStoreBackoff
-			} else {
-				backoff = min(2*backoff, w.maxBackoff())
+				backoff = 0
 			}
 		}
 	}
