--- a/internal/balance/doc.go
+++ b/internal/balance/doc.go
@@ -13,6 +13,10 @@
 // prompt where both the streams that are already there and the new one are
 // expected to meet their objectives (place.go).
 //
+// In a large fleet the coordinator of a data centre chooses the servers for the
+// requests of all its hosts. A host asks it (coordination.go), and it answers, or
+// lets the request wait in its own queue (coordinator.go).
+//
 // An upstream is one registered server of a service. A model server works in
 // passes, and at the end of each pass every request that it decodes gets one
 // event of its stream. A pause is the time between two events of a stream. A
