Send nothing in the last moment after a server's failure

Change: the check holds for all; the server's own answer is passed on. Measured: the new test fails on the code before.

--- a/internal/balance/queue_test.go
+++ b/internal/balance/queue_test.go
@@ -57,3 +57,18 @@
 	g.Expect(failures).To(HaveLen(1))
 	g.Expect(failures[0].Code).To(Equal(CodeTimeLimit))
 }
+
+// TestNothingIsSentInTheLastMomentAfterAServersFailure has a server answer with a failure
+// just before the deadline. Its own answer is the caller's.
+func TestNothingIsSentInTheLastMomentAfterAServersFailure(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore(t)
+	arrived := newArrival(1, safeRoute, "desk", 0, 0)
+	arrived.Deadline = 400 * time.Millisecond
+	s := firstSend(c.Step(0, arrived))
+	effects := c.Step(arrived.Deadline-minTimeLeft/2, AttemptFailed{RequestNumber: 1, Attempt: s.Attempt, Class: FailureUpstreamError})
+	g.Expect(firstSend(effects)).To(BeNil())
+	failures := effectsOf[Fail](effects)
+	g.Expect(failures).To(HaveLen(1))
+	g.Expect(failures[0].ForwardUpstreamError).To(BeTrue())
+}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -399,7 +399,7 @@
 // retry starts another attempt of a request, or puts it into the queue, if
 // another attempt is allowed and may succeed. Otherwise it ends the request.
 func (c *Core) retry(r *request, now time.Duration) {
-	if r.Deadline-now < minTimeLeft && !r.lastWasUpstreamError {
+	if r.Deadline-now < minTimeLeft {
 		r.lastCode = CodeTimeLimit
 		c.endRequest(r, now)
 		return
