Log what refused prompts lacked, and count the ends of requests by length

Cause: the log did not tell, for a refused prompt, its length or what it waited for (slots, memory, a reservation, or harm to others), nor the length of a request whose caller left; no metric showed the share that is served by length. Change: the last placement's shortage and harm go with each refusal, also from a coordinator; lengths are in events 7001, 7003, 7004 and 7005; gateway_ended_total counts ends by length class, with three classes from 100,000 tokens on. No decision changes. Measured: the tests of balance, gateway, logevent, docs and telemetry pass.

--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -41,6 +41,24 @@
 	CodeTimeLimit ErrorCode = "time_limit"
 )
 
+// Shortage names what a request lacked when servers were last looked for.
+type Shortage string
+
+// The shortages.
+const (
+	// ShortageServers means that no server of the service may be used now.
+	ShortageServers Shortage = "servers"
+	// ShortageSlots means that no usable server has a free slot.
+	ShortageSlots Shortage = "slots"
+	// ShortageMemory means that there are free slots, but not enough memory with them.
+	ShortageMemory Shortage = "memory"
+	// ShortageHarm means that there is capacity, and that using it would cost other
+	// requests too much.
+	ShortageHarm Shortage = "harm"
+	// ShortageReservation means that a server did not reserve the memory for a prompt.
+	ShortageReservation Shortage = "reservation"
+)
+
 // Member is one server of the group that serves an attempt.
 type Member struct {
 	// Upstream is the id of the server, Address its network address.
@@ -141,6 +159,11 @@
 	// QueueLength the number of requests that wait there now.
 	QueueTime   time.Duration
 	QueueLength int
+	// Shortage is what the request lacked when servers were last looked for; empty if they
+	// never were. With ShortageHarm, Harm is the cost that its placement would have had to
+	// other requests, as a multiple of its own weight.
+	Shortage Shortage
+	Harm     float64
 	// QuarantinedPart is the part of the prompt that is quarantined, with
 	// CodePromptQuarantined.
 	QuarantinedPart string
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -79,12 +79,31 @@
 	c.placementsTried++
 	p := c.place(r, now)
 	r.tooCostly = p != nil && r.Route.Kind == route.Stream && p.costToOthers > postponeCost*r.weight
-	if r.tooCostly {
+	r.shortage, r.harm = "", 0
+	switch {
+	case p == nil:
+		r.shortage = c.shortageOf(r, now)
+	case r.tooCostly:
+		r.shortage, r.harm = ShortageHarm, p.costToOthers/r.weight
 		return nil
 	}
 	return p
 }
 
+// shortageOf returns what a request lacks for which no plan was found.
+func (c *Core) shortageOf(r *request, now time.Duration) Shortage {
+	candidates := c.candidates(r, now)
+	for _, u := range candidates {
+		if u.engine == nil || u.load().leaders < slotCount(u, u.engine) {
+			return ShortageMemory
+		}
+	}
+	if len(candidates) == 0 {
+		return ShortageServers
+	}
+	return ShortageSlots
+}
+
 // removeFromQueue takes a request out of the queue if it waits there.
 func (c *Core) removeFromQueue(r *request) {
 	for i, waiting := range c.waiting {
@@ -171,7 +190,7 @@
 	delete(c.requests, r.RequestNumber)
 	refusal := Refuse{
 		RequestNumber: r.RequestNumber, Code: code, RetryAfter: c.retryAfter(r, code, now),
-		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting),
+		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting), Shortage: r.shortage, Harm: r.harm,
 	}
 	if verdicts, holdLeft := c.quarantinesOf(r, now); len(verdicts) > 0 && code == CodePromptQuarantined {
 		refusal.QuarantinedPart, refusal.RetryAfter = verdicts[0].Part, max(minRetryAfter, holdLeft)
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -57,6 +57,10 @@
 	// tooCostly is set when the last placement found enough capacity, but at
 	// too high a cost to other requests.
 	tooCostly bool
+	// shortage is what the last placement lacked, and harm its cost to other requests as a
+	// multiple of this request's weight; for logs.
+	shortage Shortage
+	harm     float64
 	// pendingPlan is the plan of the current attempt.
 	pendingPlan *plan
 	// firstPieceAt is when the answer of the current attempt began; 0 before.
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -53,6 +53,7 @@
 		c.recordReservationFailure(u, e.Class, now)
 	}
 	c.endAttempt(r, FailureNoCapacity, now)
+	r.shortage = ShortageReservation
 	r.earliestRetry = now + reservationBackoff + time.Duration(c.random.Int64N(int64(reservationBackoff)))
 	c.enqueue(r, now)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -150,9 +150,11 @@
 	x.control.post(balance.CallerGone{RequestNumber: x.requestNumber})
 	logevent.CallerLeft.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "error": errorText(err), "upstream": x.upstream, "pieces": x.eventsSent,
+		"route": x.inbound.route.Name, "prompt": x.inbound.request.PromptTokens,
 		"after_ms": (x.clock.Now() - x.inbound.arrivedAt).Milliseconds(),
 	})
 	x.metrics.Count("gateway_callers_left_total", 1)
+	x.countEnded("left")
 	if x.responseStarted {
 		panic(http.ErrAbortHandler)
 	}
@@ -167,6 +169,7 @@
 	}
 	x.refuse(x.w, x.inbound, refusal{
 		status: http.StatusServiceUnavailable, code: string(e.Code), retryAfter: e.RetryAfter, quarantinedPart: e.QuarantinedPart,
+		shortage: e.Shortage, harm: e.Harm,
 	})
 }
 
@@ -176,10 +179,11 @@
 func (x *exchange) failRequest(code balance.ErrorCode, forwardUpstreamError bool) {
 	logevent.RoutedFailed.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "route": x.inbound.route.Name, "code": string(code), "upstream": x.upstream, "pieces": x.eventsSent,
-		"own_answer": forwardUpstreamError, "configuration": x.inbound.configuration.Version,
+		"own_answer": forwardUpstreamError, "configuration": x.inbound.configuration.Version, "prompt": x.inbound.request.PromptTokens,
 		"after_ms": (x.clock.Now() - x.inbound.arrivedAt).Milliseconds(),
 	})
 	x.metrics.Count("gateway_failed_total", 1, "code", string(code))
+	x.countEnded("failed")
 	if x.responseStarted {
 		panic(http.ErrAbortHandler)
 	}
@@ -240,15 +244,23 @@
 	total := x.clock.Now() - x.inbound.arrivedAt
 	logevent.RoutedDelivered.Emit(x.logger, log.Fields{
 		"request": x.inbound.request.ID, "attempt": send.Attempt, "upstream": x.upstream,
+		"route": x.inbound.route.Name, "prompt": x.inbound.request.PromptTokens,
 		"first_ms": x.firstByteTime.Milliseconds(), "whole_ms": total.Milliseconds(), "pieces": x.eventsSent,
 		"predicted_ms": send.Choice.PredictedFirstPiece.Milliseconds(), "target_ms": x.inbound.route.TargetLatency.Milliseconds(),
 		"longest_pause_ms": x.longestGap.Milliseconds(), "pause_target_ms": x.inbound.route.TargetPieceGap.Milliseconds(),
 	})
 	x.metrics.Count("gateway_delivered_total", 1)
+	x.countEnded("delivered")
 	x.metrics.Observe("gateway_first_piece_seconds", x.firstByteTime, "class", promptLengthClass(x.inbound.request.PromptTokens))
 	x.metrics.Observe("gateway_answer_seconds", total, "class", promptLengthClass(x.inbound.request.PromptTokens))
 }
 
+// countEnded counts the end of a request by the length of its prompt, so that the share
+// that is served can be compared between lengths.
+func (x *exchange) countEnded(outcome string) {
+	x.metrics.Count("gateway_ended_total", 1, "class", promptLengthClass(x.inbound.request.PromptTokens), "outcome", outcome)
+}
+
 // promptLengthClass returns the class of a prompt's length for metrics; "call"
 // stands for a request without a prompt.
 func promptLengthClass(tokens int) string {
@@ -262,7 +274,11 @@
 		return "4k-32k"
 	case tokens < 100*k:
 		return "32k-100k"
+	case tokens < 200*k:
+		return "100k-200k"
+	case tokens < 350*k:
+		return "200k-350k"
 	default:
-		return "100k-1M"
+		return "350k-1M"
 	}
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -76,6 +76,10 @@
 	// quarantinedPart is the part of the prompt for which the request is refused; it
 	// is only logged.
 	quarantinedPart string
+	// shortage is what the request lacked, harm the cost that serving it would have had to
+	// others; see balance.Refuse. They are only logged.
+	shortage balance.Shortage
+	harm     float64
 }
 
 // ServeHTTP answers one request. A host that is stopping also closes the
@@ -233,10 +237,14 @@
 		fields["configuration_age_ms"] = (g.clock.Now() - inbound.configuration.activeSince).Milliseconds()
 	}
 	if inbound.route != nil {
-		fields["route"] = inbound.route.Name
+		fields["route"], fields["prompt"] = inbound.route.Name, inbound.request.PromptTokens
+	}
+	if reason.shortage != "" {
+		fields["shortage"], fields["harm"] = string(reason.shortage), reason.harm
 	}
 	logevent.RoutedRefused.Emit(g.logger, fields)
 	g.metrics.Count("gateway_refused_total", 1, "code", reason.code)
+	g.metrics.Count("gateway_ended_total", 1, "class", promptLengthClass(inbound.request.PromptTokens), "outcome", "refused")
 	platform.SetLocalResponseHeader(w.Header(), inbound.request.ID, reason.retryAfter)
 	if inbound.forwarded {
 		w.Header().Set(headerRefused, reason.code)
