--- a/internal/balance/large_fleet_test.go
+++ b/internal/balance/large_fleet_test.go
@@ -9,13 +9,25 @@
 	"github.com/chestnutline/chestnutline/internal/route"
 )
 
-// waveDataCentres is the number of data centres of the simulated fleet, waveServers that
-// of its model servers.
+// waveDataCentres is the number of data centres of the simulated fleets, waveServers the
+// usual number of their model servers.
 const (
 	waveDataCentres = 5
 	waveServers     = 30
 )
 
+// wavePlay describes a play of waves of comments and of archives that take turns.
+type wavePlay struct {
+	hosts, servers int
+	coordinated    bool
+	seed           uint64
+	// load multiplies all rates, wave is the length of each of the three waves.
+	load float64
+	wave time.Duration
+	// commentsOnly leaves out all other requests.
+	commentsOnly bool
+}
+
 // Routes of the simulated waves: comments, threads and whole archives.
 var (
 	commentRoute = streamRoute("comment", 400*time.Millisecond, 250*time.Millisecond)
@@ -32,12 +44,12 @@
 }
 
 // newFleetSimulation returns a simulation of the given number of hosts, spread over
-// waveDataCentres data centres with waveServers servers.
-func newFleetSimulation(hosts int, seed uint64) *simulation {
-	sim := newSimulation(PolicyPredict, hosts, waveServers, seed)
+// waveDataCentres data centres, with the given number of servers.
+func newFleetSimulation(hosts, servers int, seed uint64) *simulation {
+	sim := newSimulation(PolicyPredict, hosts, servers, seed)
 	sim.engine = waveEngine()
 	var list []Upstream
-	for i := range waveServers {
+	for i := range servers {
 		id := fmt.Sprintf("i-%d", i)
 		list = append(list, Upstream{ID: id, Service: "llm", Address: id, DataCentre: fmt.Sprint("dc", i%waveDataCentres), Slots: sim.engine.Slots})
 	}
@@ -63,28 +75,37 @@
 	}
 }
 
-// simulateWaves plays waves of comments and of archives that take turns, at a load of
-// the servers that does not depend on the number of hosts.
+// simulateWaves plays waves at a load of the servers that does not depend on the number of
+// hosts.
 func simulateWaves(hosts int, coordinated bool, seed uint64) *simulation {
-	const wave, waves = 4 * time.Second, 3
-	sim := newFleetSimulation(hosts, seed)
-	if coordinated {
+	return wavePlay{hosts: hosts, servers: waveServers, coordinated: coordinated, seed: seed, load: 1, wave: 4 * time.Second}.run()
+}
+
+// run plays three waves.
+func (p wavePlay) run() *simulation {
+	const waves = 3
+	sim := newFleetSimulation(p.hosts, p.servers, p.seed)
+	if p.coordinated {
 		sim.coordinate()
 	}
-	random := rand.New(rand.NewPCG(seed, 8))
+	random := rand.New(rand.NewPCG(p.seed, 8))
+	perServer := p.load * float64(p.servers)
 	for i := range waves {
 		comments, archives := 2.5, 0.05
 		if i%2 == 1 {
 			comments, archives = 0.37, 2.6
 		}
-		sim.schedule(time.Duration(i)*wave, func() {
-			until := sim.now + wave
-			sim.generateTraffic(random, commentRoute, 1.42*waveServers*comments, 4960, 0.9, 1537, until)
-			sim.generateTraffic(random, threadRoute, 0.112*waveServers, 45000, 0.5, 925, until)
-			sim.generateTraffic(random, archiveRoute, 0.0534*waveServers*archives, 190000, 0.55, 768, until)
+		sim.schedule(time.Duration(i)*p.wave, func() {
+			until := sim.now + p.wave
+			sim.generateTraffic(random, commentRoute, 1.42*perServer*comments, 4960, 0.9, 1537, until)
+			if p.commentsOnly {
+				return
+			}
+			sim.generateTraffic(random, threadRoute, 0.112*perServer, 45000, 0.5, 925, until)
+			sim.generateTraffic(random, archiveRoute, 0.0534*perServer*archives, 190000, 0.55, 768, until)
 		})
 	}
-	sim.runUntil(waves*wave + 16*time.Second)
+	sim.runUntil(waves*p.wave + 16*time.Second)
 	return sim
 }
 
