Keep coordinators from filling the same servers with short prompts

What callers saw: late comments in waves of comments, and no room for long prompts. Cause: where coordinators choose, five of them rank all servers of the fleet alike. The servers of another data centre cost a short prompt only 0.02 of its weight, less than the crowding of its own, so that all five sent prompts to the same few servers within the 30 ms in which they do not hear of each other. Class: a choice made at the same moment by several hosts with the same ranking. Change: for a short prompt a server of another data centre costs a coordinator 0.32 of its weight. Long prompts, and fleets whose hosts choose themselves, are as before.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -92,6 +92,11 @@
 	jitterCost = 0.0007
 	// remotePromptCost is the cost of an upstream in another data centre.
 	remotePromptCost = 0.02
+	// contestedUpstreamCost is the same for a short prompt where coordinators choose. With a
+	// lower one, the coordinators choose the same upstreams before they hear of each other,
+	// and prompts find no slot; with a higher one, a crowded data centre sends too few of
+	// them elsewhere.
+	contestedUpstreamCost = 0.32
 	// helperCost is the cost of each further server that a prompt depends on.
 	helperCost = 0.004
 	// backlogCost is the cost of a prefill backlog of one backlogScale on a
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -312,12 +312,13 @@
 	scored.costToOthers += addedBacklogCost * c.busyShare
 	scored.cost += failureCost * u.failureRisk(now) * r.weight / float64(parts)
 	position := u.position
-	if partPrefill*time.Duration(parts) >= longPrefillTime {
+	isLong := partPrefill*time.Duration(parts) >= longPrefillTime
+	if isLong {
 		position = 1 - u.position
 	}
 	scored.cost += positionCost * position * r.weight / float64(parts)
 	if u.DataCentre != c.config.DataCentre {
-		scored.cost += remotePromptCost * r.weight / float64(parts)
+		scored.cost += c.remoteCost(isLong) * r.weight / float64(parts)
 	}
 	scored.cost += jitterCost * float64(c.placingHosts()-1) * c.random.Float64() * r.weight / float64(parts)
 	// The delay that this member's part of the prefill causes to the request
@@ -326,6 +327,15 @@
 	return scored
 }
 
+// remoteCost returns the cost of an upstream in another data centre. Where coordinators
+// choose, that of the other data centre sends short prompts there at the same moment.
+func (c *Core) remoteCost(isLong bool) float64 {
+	if c.coordinates() && !isLong {
+		return contestedUpstreamCost
+	}
+	return remotePromptCost
+}
+
 // costOfBacklog returns the cost of a server's prefill backlog to later
 // requests. It is up to twice as high in large fleets, whose hosts send prompts
 // to the same servers before they know of each other's choices.
