Let lengths that fall behind do more harm, within a budget

Cause: a prompt waits while its harm to others exceeds half of its weight. The weight grows with the length, the prefill time with its square, and the cost of a backlog with the square of that. Where short streams are on all servers, length alone decides, and nothing records that a length is owed anything. Class: a limit on a ratio that grows with the size of the request, without an account of who was refused. The limit is logged with each refusal. Why it works: the limit follows what the length has had, so no length is barred for good, and the budget bounds what the others lose whatever the load.

--- a/internal/balance/coordination.go
+++ b/internal/balance/coordination.go
@@ -127,9 +127,10 @@
 	// caller may come back.
 	Code       ErrorCode
 	RetryAfter time.Duration
-	// Shortage and Harm tell what a refused request lacked; see Refuse.
-	Shortage Shortage
-	Harm     float64
+	// Shortage, Harm and HarmLimit tell what a refused request lacked; see Refuse.
+	Shortage  Shortage
+	Harm      float64
+	HarmLimit float64
 	// Members lists the ids of the chosen servers, the leader first. The other fields
 	// are those of the plan: the prefill time of each part, the memory to reserve on
 	// each of the first holders, and the predicted time to the first piece.
@@ -371,7 +372,7 @@
 		return
 	}
 	delete(c.requests, r.RequestNumber)
-	c.emit(Refuse{RequestNumber: r.RequestNumber, Code: a.Code, RetryAfter: a.RetryAfter, QueueTime: now - r.queuedAt, QueueLength: len(c.waiting), Shortage: a.Shortage, Harm: a.Harm})
+	c.emit(Refuse{RequestNumber: r.RequestNumber, Code: a.Code, RetryAfter: a.RetryAfter, QueueTime: now - r.queuedAt, QueueLength: len(c.waiting), Shortage: a.Shortage, Harm: a.Harm, HarmLimit: a.HarmLimit})
 }
 
 // withdrawQuery tells the coordinators that a request needs no servers any more.
--- a/internal/balance/coordinator.go
+++ b/internal/balance/coordinator.go
@@ -135,7 +135,7 @@
 	if r.lastCode.concernsHost() {
 		outcome = PlacementDeclined
 	}
-	c.answer(r, PlacementAnswer{Outcome: outcome, Code: r.lastCode, RetryAfter: c.retryAfter(r, r.lastCode, now), Shortage: r.shortage, Harm: r.harm}, now)
+	c.answer(r, PlacementAnswer{Outcome: outcome, Code: r.lastCode, RetryAfter: c.retryAfter(r, r.lastCode, now), Shortage: r.shortage, Harm: r.harm, HarmLimit: r.harmLimit}, now)
 }
 
 // answer gives the final answer to a question.
--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -48,6 +48,8 @@
 	// coordination is what this host knows and does where coordinators choose the servers
 	// of all requests.
 	coordination
+	// fairness compares how often prompts of different lengths get servers.
+	fairness fairness
 	// reportDelay is the time that a report of another host takes to arrive
 	// here.
 	reportDelay time.Duration
@@ -100,6 +102,7 @@
 		paths:        make(map[string]*pathState),
 		peers:        make(map[string]*peer),
 		coordination: newCoordination(),
+		fairness:     newFairness(),
 	}, nil
 }
 
--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -161,9 +161,11 @@
 	QueueLength int
 	// Shortage is what the request lacked when servers were last looked for; empty if they
 	// never were. With ShortageHarm, Harm is the cost that its placement would have had to
-	// other requests, as a multiple of its own weight.
-	Shortage Shortage
-	Harm     float64
+	// other requests and HarmLimit what is borne for its length, as multiples of its own
+	// weight; a harm below the limit exceeded the budget for all prompts.
+	Shortage  Shortage
+	Harm      float64
+	HarmLimit float64
 	// QuarantinedPart is the part of the prompt that is quarantined, with
 	// CodePromptQuarantined.
 	QuarantinedPart string
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -71,22 +71,25 @@
 }
 
 // placeOrPostpone chooses upstreams for a request, unless placing it would cost
-// other requests more than the request gains. Such a request waits, and is
+// other requests more than fairness bears. Such a request waits, and is
 // refused after postponeShare of the delay that its caller tolerates. This
 // handles bursts of long prompts, each of which would make the short streams of
 // all servers late.
 func (c *Core) placeOrPostpone(r *request, now time.Duration) *plan {
 	c.placementsTried++
+	c.fairness.recordRequest(r, now)
 	p := c.place(r, now)
-	r.tooCostly = p != nil && r.Route.Kind == route.Stream && p.costToOthers > postponeCost*r.weight
-	r.shortage, r.harm = "", 0
+	r.tooCostly = p != nil && r.Route.Kind == route.Stream && !c.fairness.bears(r, p.costToOthers, now)
+	r.shortage, r.harm, r.harmLimit = "", 0, 0
 	switch {
 	case p == nil:
 		r.shortage = c.shortageOf(r, now)
+		return nil
 	case r.tooCostly:
-		r.shortage, r.harm = ShortageHarm, p.costToOthers/r.weight
+		r.shortage, r.harm, r.harmLimit = ShortageHarm, p.costToOthers/r.weight, c.fairness.harmLimit(r, now)
 		return nil
 	}
+	c.fairness.recordPlacement(r, now)
 	return p
 }
 
@@ -190,7 +193,7 @@
 	delete(c.requests, r.RequestNumber)
 	refusal := Refuse{
 		RequestNumber: r.RequestNumber, Code: code, RetryAfter: c.retryAfter(r, code, now),
-		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting), Shortage: r.shortage, Harm: r.harm,
+		QueueTime: now - r.queuedAt, QueueLength: len(c.waiting), Shortage: r.shortage, Harm: r.harm, HarmLimit: r.harmLimit,
 	}
 	if verdicts, holdLeft := c.quarantinesOf(r, now); len(verdicts) > 0 && code == CodePromptQuarantined {
 		refusal.QuarantinedPart, refusal.RetryAfter = verdicts[0].Part, max(minRetryAfter, holdLeft)
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -57,10 +57,12 @@
 	// tooCostly is set when the last placement found enough capacity, but at
 	// too high a cost to other requests.
 	tooCostly bool
-	// shortage is what the last placement lacked, and harm its cost to other requests as a
-	// multiple of this request's weight; for logs.
-	shortage Shortage
-	harm     float64
+	// shortage is what the last placement lacked; harm is its cost to other requests and
+	// harmLimit what was borne, as multiples of this request's weight. They are for logs.
+	shortage        Shortage
+	harm, harmLimit float64
+	// counted and countedPlaced are set once the request is in the shares of its length.
+	counted, countedPlaced bool
 	// pendingPlan is the plan of the current attempt.
 	pendingPlan *plan
 	// firstPieceAt is when the answer of the current attempt began; 0 before.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -77,9 +77,9 @@
 	// is only logged.
 	quarantinedPart string
 	// shortage is what the request lacked, harm the cost that serving it would have had to
-	// others; see balance.Refuse. They are only logged.
-	shortage balance.Shortage
-	harm     float64
+	// others, and harmLimit what is borne; see balance.Refuse. They are only logged.
+	shortage        balance.Shortage
+	harm, harmLimit float64
 }
 
 // ServeHTTP answers one request. A host that is stopping also closes the
@@ -240,7 +240,7 @@
 		fields["route"], fields["prompt"] = inbound.route.Name, inbound.request.PromptTokens
 	}
 	if reason.shortage != "" {
-		fields["shortage"], fields["harm"] = string(reason.shortage), reason.harm
+		fields["shortage"], fields["harm"], fields["harm_limit"] = string(reason.shortage), reason.harm, reason.harmLimit
 	}
 	logevent.RoutedRefused.Emit(g.logger, fields)
 	g.metrics.Count("gateway_refused_total", 1, "code", reason.code)
