Play the seeds of wave tests at the same time

Change: the seeds of one test are played at once, their results are joined in the order of the seeds. Checks, seeds and bounds are the same.

--- a/internal/balance/large_fleet_test.go
+++ b/internal/balance/large_fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,13 +111,22 @@
 	return sim
 }
 
+// playAtOnce plays the seeds from 0 on at the same time, and returns all results in the
+// order of the seeds.
+func playAtOnce(seeds uint64, play func(seed uint64) *simulation) []result {
+	plays := make([][]result, seeds)
+	var playing sync.WaitGroup
+	for seed := range seeds {
+		playing.Go(func() { plays[seed] = play(seed).results })
+	}
+	playing.Wait()
+	return slices.Concat(plays...)
+}
+
 // sharesOfWaves returns the share of requests in time by route and over all, of several
 // plays.
 func sharesOfWaves(hosts int, coordinated bool, seeds uint64) map[string]float64 {
-	var all simulation
-	for seed := range seeds {
-		all.results = append(all.results, simulateWaves(hosts, coordinated, seed).results...)
-	}
+	all := simulation{results: playAtOnce(seeds, func(seed uint64) *simulation { return simulateWaves(hosts, coordinated, seed) })}
 	shares := make(map[string]float64)
 	inTime := 0
 	for _, r := range all.results {
--- a/internal/balance/lengths_test.go
+++ b/internal/balance/lengths_test.go
@@ -33,10 +33,7 @@
 // TestLongestPromptsAreNotRefusedForTheirLength holds the users' comparison of lengths.
 func TestLongestPromptsAreNotRefusedForTheirLength(t *testing.T) {
 	const minShareOfAll, seeds = 0.5, 4
-	var results []result
-	for seed := range uint64(seeds) {
-		results = append(results, lengthPlay(100+seed).run().results...)
-	}
+	results := playAtOnce(seeds, func(seed uint64) *simulation { return lengthPlay(100 + seed).run() })
 	all, longest, next := servedShares(results, archiveRoute.Name)
 	t.Logf("served: all %.3f, longest tenth %.3f, fifth below %.3f", all, longest, next)
 	if longest < minShareOfAll*all || next < minShareOfAll*all {
