--- a/internal/balance/intake_test.go
+++ b/internal/balance/intake_test.go
@@ -71,6 +71,7 @@
 // TestLimitHoldsForAllHostsTogether guards against hosts that each allow themselves
 // the whole limit, and against those that pick the same moment.
 func TestLimitHoldsForAllHostsTogether(t *testing.T) {
+	t.Parallel()
 	for _, f := range []limitedFleet{
 		{hosts: 8, servers: 18, limited: 2, limit: 1.9, perSecond: 37, reportDelay: 8 * time.Millisecond},
 		{hosts: 8, servers: 18, limited: 6, limit: 0.3, perSecond: 37, reportDelay: 8 * time.Millisecond},
@@ -110,6 +111,7 @@
 // TestLimitHoldsWhenAllServersNameOne guards against many hosts that all look for
 // the few free places of a service whose servers have all named limits.
 func TestLimitHoldsWhenAllServersNameOne(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		limitedFleet{hosts: 80, servers: 60, limited: 60, limit: 1, perSecond: 120, reportDelay: manyHostsReportDelay}.run(t, seed)
 	}
--- a/internal/balance/large_fleet_test.go
+++ b/internal/balance/large_fleet_test.go
@@ -143,6 +143,7 @@
 // load for each server, to fleets of different sizes. It guards against placement that
 // gets worse with the number of hosts.
 func TestLargeFleetsServeAsWellAsSmallOnes(t *testing.T) {
+	t.Parallel()
 	const maxLoss, seeds = 0.03, 4
 	small := sharesOfWaves(30, true, seeds)
 	t.Log("30 hosts:", small)
--- a/internal/balance/lengths_test.go
+++ b/internal/balance/lengths_test.go
@@ -32,6 +32,7 @@
 
 // TestLongestPromptsAreNotRefusedForTheirLength holds the users' comparison of lengths.
 func TestLongestPromptsAreNotRefusedForTheirLength(t *testing.T) {
+	t.Parallel()
 	const minShareOfAll, seeds = 0.5, 4
 	results := playAtOnce(seeds, func(seed uint64) *simulation { return lengthPlay(100 + seed).run() })
 	all, longest, next := servedShares(results, archiveRoute.Name)
@@ -44,6 +45,7 @@
 // TestCoordinatorsDoNotFillTheSameServers guards against short prompts that find no slot
 // while a quarter of all slots is free.
 func TestCoordinatorsDoNotFillTheSameServers(t *testing.T) {
+	t.Parallel()
 	p := lengthPlay(100)
 	p.servers, p.commentsOnly, p.load = 150, true, 1.25
 	if got := p.run().inTimeShare(commentRoute.Name); got < 0.9 {
--- a/internal/balance/many_hosts_test.go
+++ b/internal/balance/many_hosts_test.go
@@ -34,6 +34,7 @@
 // each other's choices. Nine in ten short prompts must be in time while a
 // quarter of the slots is free.
 func TestManyHostsFindFreeSlots(t *testing.T) {
+	t.Parallel()
 	var predictive, plain simulation
 	for seed := range uint64(2) {
 		predictive.results = append(predictive.results, simulateShortPrompts(PolicyPredict, seed).results...)
--- a/internal/balance/quarantine_test.go
+++ b/internal/balance/quarantine_test.go
@@ -75,6 +75,7 @@
 // TestCrashingPartIsQuarantinedInFleetsOfAllSizes guards against hosts that each
 // have to see the crashes for themselves.
 func TestCrashingPartIsQuarantinedInFleetsOfAllSizes(t *testing.T) {
+	t.Parallel()
 	type fleet struct {
 		hosts, servers int
 		reportDelay    time.Duration
@@ -112,6 +113,7 @@
 // TestCrashesWithoutACommonPartQuarantineNothing guards against sound prompts that
 // are refused because they were on servers that crashed.
 func TestCrashesWithoutACommonPartQuarantineNothing(t *testing.T) {
+	t.Parallel()
 	for name, crash := range map[string]func(sim *simulation, random *rand.Rand){
 		"a rack": func(sim *simulation, _ *rand.Rand) {
 			for i := range 6 {
--- a/internal/balance/repeated_crash_test.go
+++ b/internal/balance/repeated_crash_test.go
@@ -90,6 +90,7 @@
 // TestRepeatedRequestIsQuarantinedInFleetsOfAllSizes guards against one request that
 // crashes server after server, sent to any host several times a second.
 func TestRepeatedRequestIsQuarantinedInFleetsOfAllSizes(t *testing.T) {
+	t.Parallel()
 	for _, size := range fleetSizes() {
 		for _, r := range []*route.Route{readRoute, orderRoute} {
 			for seed := range repeatedCrashSeeds() {
@@ -116,6 +117,7 @@
 // TestCallsOnServersThatCrashForOtherReasonsAreNotQuarantined guards against sound calls
 // that are refused since they, and the repeats of them, were on servers which crashed.
 func TestCallsOnServersThatCrashForOtherReasonsAreNotQuarantined(t *testing.T) {
+	t.Parallel()
 	crashes := map[string]func(sim *simulation, random *rand.Rand){
 		"a rack, again and again": func(sim *simulation, random *rand.Rand) {
 			for round := range 4 {
