Keep long prompts from breaking off the streams of others

Cause: a prompt whose length had fallen behind could be placed where its part stops all streams of a server for longer than the 1.7 s after which a host takes a stream to be broken: 1.75 s for each of 16 parts of 600,000 tokens. Inferred from the times. Change: nothing above the usual limit of harm is placed where it would stall a stream for 1.5 s or more; the budget is 0.25 in place of 0.2, since the guard bars some.

--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -327,6 +327,22 @@
 	return scored
 }
 
+// stallsStreams reports whether the plan would delay the streams of a server until they
+// are taken to be broken; see pieceTimeout.
+func (p *plan) stallsStreams(now time.Duration) bool {
+	for _, u := range p.members {
+		if u.backlog(now)+p.partPrefillTime < maxStreamStall {
+			continue
+		}
+		for _, w := range u.items {
+			if w.isLeader && w.decoding {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // remoteCost returns the cost of an upstream in another data centre. Where coordinators
 // choose, that of the other data centre sends short prompts there at the same moment.
 func (c *Core) remoteCost(isLong bool) float64 {
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -27,7 +27,10 @@
 	// harmBudgetShare is the harm that prompts above postponeCost may do together, as a
 	// share of the weight of all requests. A larger one serves more of the longest prompts
 	// and makes more short ones late.
-	harmBudgetShare = 0.2
+	harmBudgetShare = 0.25
+	// maxStreamStall is the longest prefill that a prompt above postponeCost may put before
+	// the next event of a stream. With a longer one, streams reach minPieceTimeout.
+	maxStreamStall = 1500 * time.Millisecond
 	// maxRequestKinds is the largest number of kinds of requests whose shares are kept.
 	maxRequestKinds = 256
 )
@@ -172,12 +175,12 @@
 }
 
 // bears reports whether a request may be placed at the given cost to others. What exceeds
-// postponeCost is taken from the harm budget.
-func (f *fairness) bears(r *request, costToOthers float64, now time.Duration) bool {
+// postponeCost is taken from the harm budget, and must not break off streams.
+func (f *fairness) bears(r *request, costToOthers float64, stallsStreams bool, now time.Duration) bool {
 	if costToOthers <= postponeCost*r.weight {
 		return true
 	}
-	if costToOthers > f.harmLimit(r, now)*r.weight || f.harm.at(now)+costToOthers > harmBudgetShare*f.weight.at(now) {
+	if stallsStreams || costToOthers > f.harmLimit(r, now)*r.weight || f.harm.at(now)+costToOthers > harmBudgetShare*f.weight.at(now) {
 		return false
 	}
 	f.harm.add(costToOthers, now)
