Fill servers with short prompts one after the other where coordinators choose

Cause: short streams were on all servers, so that each part of a long prompt stalled some. A coordinator weighed the last slots and the load of each server as if other hosts filled them at the same moment, though since the servers of its data centre are left to it alone for short prompts, and the order in which short prompts prefer servers cost less than that risk. Class: terms that count hosts that no longer decide. Change: a coordinator adds no risk of collision to the servers of its data centre, and the order of servers costs a short prompt ten times as much there. Long prompts, and fleets whose hosts choose for themselves, are placed as before.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -86,6 +86,11 @@
 	// prefers. Short and long prompts prefer opposite orders, so that they are
 	// kept on different upstreams.
 	positionCost = 0.03
+	// filledPositionCost is the same for a short prompt where coordinators choose. A
+	// coordinator knows all choices for its data centre and can fill servers one after
+	// the other. With a lower cost, short streams are on all servers, and long prompts
+	// find none without them; with a higher one, short prompts wait for each other.
+	filledPositionCost = 0.3
 	// jitterCost is the largest random cost, for each other host, that is added
 	// to an upstream. It makes hosts choose differently when they decide at the
 	// same moment and do not know of each other's choices yet.
--- a/internal/balance/large_fleet_test.go
+++ b/internal/balance/large_fleet_test.go
@@ -28,8 +28,13 @@
 	wave time.Duration
 	// commentsOnly leaves out all other requests.
 	commentsOnly bool
+	// sample is called each sampleInterval of the waves unless it is nil.
+	sample func(sim *simulation)
 }
 
+// sampleInterval is the time between two samples of a play.
+const sampleInterval = 100 * time.Millisecond
+
 // Routes of the simulated waves: comments, threads and whole archives.
 var (
 	commentRoute = streamRoute("comment", 400*time.Millisecond, 250*time.Millisecond)
@@ -107,6 +112,11 @@
 			sim.generateTraffic(random, archiveRoute, 0.0534*perServer*archives, 190000, 0.55, 768, until)
 		})
 	}
+	if p.sample != nil {
+		for at := sampleInterval; at < waves*p.wave; at += sampleInterval {
+			sim.schedule(at, func() { p.sample(sim) })
+		}
+	}
 	sim.runUntil(waves*p.wave + 16*time.Second)
 	return sim
 }
--- a/internal/balance/lengths_test.go
+++ b/internal/balance/lengths_test.go
@@ -54,3 +54,27 @@
 		t.Logf("%.3f of the short prompts in time", got)
 	}
 }
+
+// TestShortStreamsDoNotSpreadOverAllServers guards against long prompts that find a short
+// stream on each server although a third of all slots is free.
+func TestShortStreamsDoNotSpreadOverAllServers(t *testing.T) {
+	t.Parallel()
+	const minIdleShare = 0.5
+	var idle, free float64
+	p := lengthPlay(100)
+	p.commentsOnly = true
+	p.sample = func(sim *simulation) {
+		for _, s := range sim.servers {
+			leaders := leaderCount(s.running)
+			free += float64(sim.engine.Slots-leaders) / float64(sim.engine.Slots)
+			if leaders == 0 {
+				idle++
+			}
+		}
+	}
+	p.run()
+	t.Logf("servers without streams are %.3f of what the free slots would allow", idle/free)
+	if idle/free < minIdleShare {
+		t.Errorf("servers without streams are %.3f of what the free slots would allow, want at least %.3f", idle/free, minIdleShare)
+	}
+}
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -280,11 +280,14 @@
 }
 
 // leaderCost returns the cost of making an upstream the leader: the expected
-// pauses of the request itself, and the risk that other hosts fill the last
-// free slots at the same moment.
+// pauses of the request itself, and, where other hosts choose it too, the risk that they
+// fill the last free slots at the same moment.
 func (c *Core) leaderCost(r *request, e *route.Engine, candidate scoredUpstream, partPrefill time.Duration, now time.Duration) float64 {
 	ownPause := passTime(e, candidate.load.leaders+1, candidate.load.contextTokens+r.PromptTokens)
 	cost := r.weight * latenessCost(ownPause, r.Route.TargetPieceGap)
+	if c.choosesAlone(candidate.upstream) {
+		return cost
+	}
 	if slotShare := float64(candidate.load.leaders+1) / float64(slotCount(candidate.upstream, e)); slotShare > crowdedSlotShare {
 		pauseAfter := candidate.upstream.predictPause(e, now, partPrefill, 1, r.PromptTokens)
 		cost += r.weight * latenessCost(pauseAfter, r.Route.TargetPieceGap)
@@ -311,12 +314,8 @@
 	scored.cost = scored.costToOthers + addedBacklogCost
 	scored.costToOthers += addedBacklogCost * c.busyShare
 	scored.cost += failureCost * u.failureRisk(now) * r.weight / float64(parts)
-	position := u.position
 	isLong := partPrefill*time.Duration(parts) >= longPrefillTime
-	if isLong {
-		position = 1 - u.position
-	}
-	scored.cost += positionCost * position * r.weight / float64(parts)
+	scored.cost += c.orderCost(u, isLong) * r.weight / float64(parts)
 	if u.DataCentre != c.config.DataCentre {
 		scored.cost += c.remoteCost(isLong) * r.weight / float64(parts)
 	}
@@ -327,6 +326,24 @@
 	return scored
 }
 
+// orderCost returns the cost of an upstream's place in the order that a prompt prefers.
+func (c *Core) orderCost(u *upstream, isLong bool) float64 {
+	switch {
+	case isLong:
+		return positionCost * (1 - u.position)
+	case c.coordinates():
+		return filledPositionCost * u.position
+	default:
+		return positionCost * u.position
+	}
+}
+
+// choosesAlone reports whether no other host sends short prompts to an upstream: those of
+// its own data centre are left to each coordinator.
+func (c *Core) choosesAlone(u *upstream) bool {
+	return c.coordinates() && u.DataCentre == c.config.DataCentre
+}
+
 // stallsStreams reports whether the plan would delay the streams of a server until they
 // are taken to be broken; see pieceTimeout.
 func (p *plan) stallsStreams(now time.Duration) bool {
