Queue the first message to a host before dialling it

Cause: Send started the goroutine that dials, and queued the message after that. A dial refused before then emptied an empty queue, and the message, which is meant to be dropped with the failed dial, stayed for the whole backoff. Class: work started before what it acts on is there. Beside it, the test closed an ephemeral port and used it again, which another process could take meanwhile ("address already in use", seen once). Change: the goroutine starts after the message is queued; the three tests that use a closed address again listen at a loopback address of their own. Checks are the same.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -128,7 +128,8 @@
 	if o == nil {
 		o = newOutbound(t, to)
 		t.outbound[to] = o
-		t.goroutines.Go(o.run)
+		// A dial that fails drops what is queued, so the message has to be queued before.
+		defer t.goroutines.Go(o.run)
 	}
 	o.enqueue(m)
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -72,6 +74,14 @@
 	return l
 }
 
+// listenAlone opens a listener at a loopback address that only this process uses, so that
+// no other process takes its port after it is closed.
+func listenAlone(t *testing.T) net.Listener {
+	t.Helper()
+	pid := os.Getpid()
+	return listen(t, fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&0xff, max(1, pid&0xff)))
+}
+
 // newTransport returns a transport that is closed at the end of the test.
 func newTransport(t *testing.T, cfg Config, dialer Dialer, handler Handler) *Transport {
 	t.Helper()
@@ -160,7 +170,7 @@
 func TestTransportReconnectsAfterPeerRestart(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var first, second inbox
-	l := listen(t, "127.0.0.1:0")
+	l := listenAlone(t)
 	address := l.Addr().String()
 	firstTransport := serve(t, l, &first, nil)
 	tr := newTransport(t, fastConfig("127.0.0.1:1"), nil, nil)
@@ -179,7 +189,7 @@
 // Neither the message nor the state of the host may be kept.
 func TestQueueIsDroppedWhenDialFails(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l := listen(t, "127.0.0.1:0")
+	l := listenAlone(t)
 	address := l.Addr().String()
 	l.Close()
 	tr := newTransport(t, fastConfig("127.0.0.1:1"), nil, nil)
@@ -200,7 +210,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			own, other := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+			own, other := listen(t, "127.0.0.1:0"), listenAlone(t)
 			address := other.Addr().String()
 			other.Close()
 			var ignored, received inbox
