Bound the harm of long prompts by a twentieth where hosts choose for themselves

Cause: the harm budget of 0.25 was set for fleets with coordinators, which fill servers in order and keep some free of short streams. Where each host chooses for itself, parts of long prompts fall among short streams, and each host spends a budget of its own. Change: that budget is 0.05 there. Coordinators are as before; the tests of the budget name the share that they use.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -79,7 +79,7 @@
 	c.placementsTried++
 	c.fairness.recordRequest(r, now)
 	p := c.place(r, now)
-	r.tooCostly = p != nil && r.Route.Kind == route.Stream && !c.fairness.bears(r, p.costToOthers, p.stallsStreams(now), now)
+	r.tooCostly = p != nil && r.Route.Kind == route.Stream && !c.fairness.bears(r, p.costToOthers, p.stallsStreams(now), c.budgetShare(), now)
 	r.shortage, r.harm, r.harmLimit = "", 0, 0
 	switch {
 	case p == nil:
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -28,6 +28,9 @@
 	// share of the weight of all requests. A larger one serves more of the longest prompts
 	// and makes more short ones late.
 	harmBudgetShare = 0.25
+	// uncoordinatedBudgetShare is the same on hosts that choose for themselves. They can't
+	// keep servers free of short streams, so that a long prompt harms more of them.
+	uncoordinatedBudgetShare = 0.05
 	// maxStreamStall is the longest prefill that a prompt above postponeCost may put before
 	// the next event of a stream. With a longer one, streams reach minPieceTimeout.
 	maxStreamStall = 1500 * time.Millisecond
@@ -174,13 +177,21 @@
 	return postponeCost
 }
 
+// budgetShare returns the harm budget of this host, as a share of the weight of all requests.
+func (c *Core) budgetShare() float64 {
+	if c.coordinates() {
+		return harmBudgetShare
+	}
+	return uncoordinatedBudgetShare
+}
+
 // bears reports whether a request may be placed at the given cost to others. What exceeds
 // postponeCost is taken from the harm budget, and must not break off streams.
-func (f *fairness) bears(r *request, costToOthers float64, stallsStreams bool, now time.Duration) bool {
+func (f *fairness) bears(r *request, costToOthers float64, stallsStreams bool, budgetShare float64, now time.Duration) bool {
 	if costToOthers <= postponeCost*r.weight {
 		return true
 	}
-	if stallsStreams || costToOthers > f.harmLimit(r, now)*r.weight || f.harm.at(now)+costToOthers > harmBudgetShare*f.weight.at(now) {
+	if stallsStreams || costToOthers > f.harmLimit(r, now)*r.weight || f.harm.at(now)+costToOthers > budgetShare*f.weight.at(now) {
 		return false
 	}
 	f.harm.add(costToOthers, now)
--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -59,16 +59,16 @@
 	}
 	long, harm, now := promptOf(400000), 0.0, time.Duration(0)
 	cost := 2 * postponeCost * long.weight
-	for f.bears(long, cost, false, now) {
+	for f.bears(long, cost, false, harmBudgetShare, now) {
 		harm += cost
 	}
 	g.Expect(harm).To(And(BeNumerically(">", 0), BeNumerically("<=", harmBudgetShare*f.weight.at(now))))
-	g.Expect(f.bears(long, postponeCost*long.weight, true, now)).To(BeTrue(), "what others bear anyhow is not counted")
+	g.Expect(f.bears(long, postponeCost*long.weight, true, harmBudgetShare, now)).To(BeTrue(), "what others bear anyhow is not counted")
 	for range 1000 {
 		short.counted = false
 		f.recordRequest(short, now)
 	}
-	g.Expect(f.bears(long, cost, false, now)).To(BeTrue(), "more requests bear more")
+	g.Expect(f.bears(long, cost, false, harmBudgetShare, now)).To(BeTrue(), "more requests bear more")
 }
 
 // TestSharesOfManyKindsAreBounded guards against memory that grows with the kinds of
@@ -109,6 +109,6 @@
 	}
 	long := promptOf(400000)
 	cost := 2 * postponeCost * long.weight
-	g.Expect(f.bears(long, cost, true, 0)).To(BeFalse())
-	g.Expect(f.bears(long, cost, false, 0)).To(BeTrue())
+	g.Expect(f.bears(long, cost, true, harmBudgetShare, 0)).To(BeFalse())
+	g.Expect(f.bears(long, cost, false, harmBudgetShare, 0)).To(BeTrue())
 }
