Do not repeat a plain answer that the caller has a part of

Cause: an answer of 256 KiB or more is passed on while the rest is read. The time limit for its first piece ran on, ended the attempt when the server paused, and the core repeated the request: it never looked at AttemptFailed.PartlyDelivered. The second answer was written behind the first one's part.

The core now ends a request whose caller has a part of an answer, unless that is a stream, which goes on after its last event. The gateway drops the time limit once an answer is passed on, since no other server can be asked any more.

--- a/internal/balance/faults_test.go
+++ b/internal/balance/faults_test.go
@@ -248,3 +248,16 @@
 	g.Expect(c.Waiting()).To(BeZero())
 	g.Expect(c.Step(100*time.Millisecond, DeadlinePassed{RequestNumber: 1})).To(BeEmpty())
 }
+
+// TestPlainAnswerThatHasBegunIsNotRepeated guards against a second server's answer behind
+// the part of the first one's that the caller has already.
+func TestPlainAnswerThatHasBegunIsNotRepeated(t *testing.T) {
+	for _, class := range []FailureClass{FailureAnswerLost, FailureNoResponse, FailureNoCapacity} {
+		g := NewWithT(t)
+		c := newTestCore(t)
+		s := firstSend(c.Step(0, newArrival(1, safeRoute, "desk", 0, 0)))
+		effects := c.Step(50*time.Millisecond, AttemptFailed{RequestNumber: 1, Attempt: s.Attempt, Class: class, PartlyDelivered: true})
+		g.Expect(firstSend(effects)).To(BeNil(), string(class))
+		g.Expect(len(effectsOf[Fail](effects))+len(effectsOf[Refuse](effects))).To(Equal(1), string(class))
+	}
+}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -47,6 +47,8 @@
 	// failure.
 	lastCode             ErrorCode
 	lastWasUpstreamError bool
+	// partlyDelivered is set once the caller has received a part of an answer.
+	partlyDelivered bool
 	// earliestRetry is the time before which no new attempt is made.
 	earliestRetry time.Duration
 	// queuedAt is when the request arrived, or when it was queued again after
@@ -372,6 +374,7 @@
 	if r == nil {
 		return
 	}
+	r.partlyDelivered = r.partlyDelivered || e.PartlyDelivered
 	if r.forwardedTo != nil {
 		c.handleForwardFailed(r, e, now)
 		return
@@ -414,6 +417,11 @@
 		c.endRequest(r, now)
 		return
 	}
+	if r.partlyDelivered && r.Route.Kind != route.Stream {
+		// Only a stream can go on where another server's answer broke off.
+		c.endRequest(r, now)
+		return
+	}
 	if c.isQuarantined(r, now) {
 		r.lastCode = CodePromptQuarantined
 		c.endRequest(r, now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -265,6 +265,8 @@
 		}
 		return outcome{status: response.StatusCode}
 	}
+	// The answer can't come from another server any more, however long this one pauses.
+	a.stopWatchdog()
 	platform.CopyResponseHeader(a.w.Header(), response.Header)
 	a.w.WriteHeader(response.StatusCode)
 	a.responseStarted = true
