Check that bytes are an event before they are passed on

Cause: whatever ended with a blank line was passed on as an event. Random bytes have a blank line in each 64 KiB; the junk behind the last one ended the attempt, and the stream went on at another server in the same answer.

The reader now takes only lines that are fields or comments, blocks with an id, and ids that rise within one server's answer. The first other line ends the attempt at once; the stream then goes on elsewhere or is broken off. A comment must be text.

Evidence: TestNoiseWithinAStreamIsNotPassedOn and TestNoiseThroughAnotherHostIsNotPassedOn failed on the code before.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -127,3 +127,29 @@
 	g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
 	g.Expect(h.logs.hasEvent(7020)).To(BeFalse(), "no server is avoided")
 }
+
+// TestNoiseWithinAStreamIsNotPassedOn guards against bytes that are no events between the
+// events of a stream that another server continues.
+func TestNoiseWithinAStreamIsNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	h, engines := expectStreamFromTheOtherServer(t, standin.NoisyStream)
+	setFault(engines, standin.NoisyStream)
+	answer := h.sendPrompt("r-2", "5c:40,own:20")
+	g.Expect(answer.readError).To(HaveOccurred(), "no server completes it")
+	g.Expect(expectedStream("r-2", engines[0].EventCount)).To(HavePrefix(answer.body))
+}
+
+// TestNoiseThroughAnotherHostIsNotPassedOn guards against the same when another host passes
+// the stream on.
+func TestNoiseThroughAnotherHostIsNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	h, _, _, engines, _ := setUpCutOffHost(t)
+	setFault(engines, standin.NoisyStream)
+	for _, s := range engines {
+		s.EventCount = 4
+	}
+	answer := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(answer.readError).NotTo(HaveOccurred())
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", 4)))
+	g.Expect(h.logs.hasEvent(7008)).To(BeTrue(), "another host was asked")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,73 +11,22 @@
 	"github.com/chestnutline/chestnutline/platform"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
-
-var (
-	errEventTooLarge = errors.New("event of a stream is too large")
-	errNoEvents      = errors.New("connection closed before the first event of a stream")
-)
-
-// noEventID is the id of an event that carries none.
-const noEventID = -1
-
-// streamEvent is one event of a stream as it was received, including the blank
-// line that ends it.
-type streamEvent struct {
-	id  int64
-	raw []byte
-	// hasFields is false if the event consists of comments alone.
-	hasFields bool
-}
-
-// readEvent reads one event. It returns io.EOF when the stream ends between two
-// events, and io.ErrUnexpectedEOF when it ends within one.
-func readEvent(r *bufio.Reader) (streamEvent, error) {
-	e := streamEvent{id: noEventID}
-	for {
-		line, err := r.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return e, errEventTooLarge
-		}
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
-			return e, io.ErrUnexpectedEOF
-		case err != nil:
-			return e, err
-		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			return e, nil
-		}
-		e.hasFields = e.hasFields || trimmed[0] != ':'
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil {
-				return e, errors.Wrap(err, "read an event's id")
-			}
-			e.id = id
-		}
-	}
-}
+var errNoEvents = errors.New("connection closed before the first event of a stream")
 
 // forwardStream forwards the events of an answer as they arrive. It leaves out
 // the events that the caller has got from an earlier attempt, and never
 // forwards a part of an event.
 func (a *attempt) forwardStream(response *http.Response) outcome {
-	events := bufio.NewReader(response.Body)
+	events := newEventReader(response.Body)
 	for {
-		e, err := readEvent(events)
+		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(response)
 		}
 		if err != nil {
 			return a.classifyInterrupted(err)
 		}
-		if e.hasFields {
+		if e.id != noEventID {
 			// A server that has stalled may go on sending comments.
 			a.restartWatchdog(a.send.PieceTimeout)
 		}
