Tell the core when its host stops, and answer what waits there

Cause: only the gateway knew of the stop. It waited for the requests in flight until the grace period was nearly over; nothing told the core, so that requests waited on as if their host lived, and whatever was in flight at the end was cut, calls at a server as well.

The core learns of the stop and of its end (HostStopping). It refuses what can't be answered by then, with a time to come back, in the queue, at arrival, before a repeat and after a reservation; what may have run is tried on as long as an answer is possible.

--- a/internal/balance/effect.go
+++ b/internal/balance/effect.go
@@ -39,6 +39,8 @@
 	CodePromptQuarantined ErrorCode = "prompt_quarantined"
 	// CodeTimeLimit means that the request's time limit has passed.
 	CodeTimeLimit ErrorCode = "time_limit"
+	// CodeStopping means that this host stops before it could answer.
+	CodeStopping ErrorCode = "stopping"
 )
 
 // Shortage names what a request lacked when servers were last looked for.
--- a/internal/balance/event.go
+++ b/internal/balance/event.go
@@ -167,7 +167,11 @@
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{ RequestNumber uint64 }
 
-// DeadlinePassed reports that the time of a request is over that no upstream has.
+// HostStopping reports that this host stops. It answers no request after EndsAt.
+type HostStopping struct{ EndsAt time.Duration }
+
+// DeadlinePassed reports that the time of a request is over that no upstream has, or that
+// its host stops now.
 type DeadlinePassed struct{ RequestNumber uint64 }
 
 // ReservationResult is the answer to a ReserveMemory effect.
@@ -284,6 +288,7 @@
 func (AttemptFailed) event()      {}
 func (CallerGone) event()         {}
 func (DeadlinePassed) event()     {}
+func (HostStopping) event()       {}
 func (ReservationResult) event()  {}
 func (UpstreamsChanged) event()   {}
 func (ServicesChanged) event()    {}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -131,6 +131,9 @@
 		case c.isQuarantined(r, now) && !r.isTrial:
 			r.lastCode = CodePromptQuarantined
 			c.endRequest(r, now)
+		case c.endsTooSoon(r, now):
+			r.lastCode = CodeStopping
+			c.endRequest(r, now)
 		case now > c.refusalTime(r), c.restsTooLong(r, now):
 			r.lastCode = CodeOverloaded
 			c.endRequest(r, now)
@@ -216,6 +219,8 @@
 		return noUpstreamRetryAfter
 	case CodeUpstreamsUnreachable:
 		return minRetryAfter
+	case CodeStopping:
+		return StoppingRetryAfter
 	}
 	if end, allRest := c.restEnd(r.Service, now); allRest {
 		wait := max(minRetryAfter, end-now)
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -142,6 +142,9 @@
 // empty if it can be. A prompt may use the memory of as many servers as the
 // largest group has, which is maxHelpers+1.
 func (c *Core) unservableReason(r *request, now time.Duration) ErrorCode {
+	if c.endsTooSoon(r, now) {
+		return CodeStopping
+	}
 	pool := c.servicePools[r.Service]
 	if pool == nil {
 		return CodeNoUpstream
@@ -413,6 +416,11 @@
 		c.endRequest(r, now)
 		return
 	}
+	if c.endsTooSoon(r, now) {
+		r.lastCode = CodeStopping
+		c.endRequest(r, now)
+		return
+	}
 	if r.possibleRuns > 0 && (!r.Route.Repeatable() || r.possibleRuns >= r.Route.MaxRuns) {
 		c.endRequest(r, now)
 		return
@@ -478,7 +486,10 @@
 	}
 	c.removeFromQueue(r)
 	r.lastCode = CodeOverloaded
-	if r.possibleRuns > 0 {
+	switch {
+	case c.endsAt > 0 && now < r.Deadline:
+		r.lastCode = CodeStopping
+	case r.possibleRuns > 0:
 		r.lastCode = CodeTimeLimit
 	}
 	c.endRequest(r, now)
--- /dev/null
+++ b/internal/balance/stop.go
@@ -0,0 +1,43 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/chestnutline/chestnutline/internal/route"
+)
+
+// StoppingRetryAfter is the time after which a host that stops tells callers to come back;
+// another host takes their connections at once.
+const StoppingRetryAfter = 50 * time.Millisecond
+
+const (
+	// cautiousDecodeTime and cautiousPrefillTime are cautious estimates of the time per
+	// token of an answer and of a prompt. They serve to predict whether an answer ends
+	// before its host does.
+	cautiousDecodeTime  = 2 * time.Millisecond
+	cautiousPrefillTime = 8 * time.Microsecond
+)
+
+// CautiousDuration returns a cautious estimate of how long a request takes from its sending
+// to the end of its answer. For a stream that is half of the latency objective plus the
+// times for prefill and decoding; for any other request it is the latency objective.
+func CautiousDuration(r *route.Route, promptTokens, answerTokens int) time.Duration {
+	if r.Kind != route.Stream {
+		return r.TargetLatency
+	}
+	return r.TargetLatency/2 + time.Duration(answerTokens)*cautiousDecodeTime + time.Duration(promptTokens)*cautiousPrefillTime
+}
+
+// endsTooSoon reports whether this host stops before it could answer a request. A request
+// that may have run is given up only if no answer at all can come in time, since its caller
+// may not send it again.
+func (c *Core) endsTooSoon(r *request, now time.Duration) bool {
+	switch {
+	case c.endsAt == 0 || r.asker != nil:
+		return false
+	case r.possibleRuns > 0 || r.partlyDelivered:
+		return c.endsAt-now < c.minServiceTime(r)
+	default:
+		return c.endsAt-now < CautiousDuration(r.Route, r.PromptTokens, r.AnswerTokens)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,6 +74,7 @@
 	a.startedAt = a.clock.Now()
 	deadlineTimer := time.AfterFunc(a.send.Deadline-a.startedAt, func() { a.cancel(context.DeadlineExceeded) })
 	defer deadlineTimer.Stop()
+	defer context.AfterFunc(a.drain.requestsEnded, func() { a.cancel(errHostStopping) })()
 	connectTimer := time.AfterFunc(a.send.ConnectTimeout, func() { a.cancel(errNotConnected) })
 	defer connectTimer.Stop()
 	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,8 +59,12 @@
 	deadlineTimer := time.NewTimer(x.inbound.deadline - x.clock.Now())
 	defer deadlineTimer.Stop()
 	expired := false
+	hostStops := x.drain.requestsEnded.Done()
 	for {
 		select {
+		case <-hostStops:
+			hostStops = nil
+			x.control.post(balance.DeadlinePassed{RequestNumber: x.requestNumber})
 		case <-x.r.Context().Done():
 			x.handleCallerLeft(x.r.Context().Err())
 			return
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,9 +28,6 @@
 	// configuration is known. Reading the configuration takes one call to the
 	// store.
 	unconfiguredRetryAfter = 500 * time.Millisecond
-	// stoppingRetryAfter is the retry time that callers get from a host that is
-	// stopping; another host takes a new connection at once.
-	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // ingress is the HTTP handler that answers callers.
@@ -117,7 +114,7 @@
 	inbound := &inboundRequest{request: request, arrivedAt: arrived}
 	prepare(inbound)
 	if inbound.forwarded && g.drain.stopping() {
-		return inbound, &refusal{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetryAfter}
+		return inbound, refusalWhileStopping()
 	}
 	if len(findings) > 0 {
 		return inbound, badRequest(findings)
@@ -255,18 +252,21 @@
 	}
 }
 
-// arrivedEvent describes the request to the decision core. The length of the
-// answer is planned as twice the caller's estimate, and at most the declared
-// maximum.
-func (x *exchange) arrivedEvent() balance.Arrived {
-	request := x.inbound.request
-	answerTokens := request.MaxTokens
+// plannedAnswerTokens returns the length that is planned for the answer: twice the
+// caller's estimate, and at most the declared maximum.
+func plannedAnswerTokens(request platform.CallerRequest) int {
 	if request.EstimatedTokens > 0 {
-		answerTokens = min(answerTokens, 2*request.EstimatedTokens)
+		return min(request.MaxTokens, 2*request.EstimatedTokens)
 	}
+	return request.MaxTokens
+}
+
+// arrivedEvent describes the request to the decision core.
+func (x *exchange) arrivedEvent() balance.Arrived {
+	request := x.inbound.request
 	return balance.Arrived{
 		RequestNumber: x.requestNumber, ID: request.ID, Route: x.inbound.route, Service: x.inbound.route.ChooseService(request.ID),
-		SharedParts: request.SharedParts, Content: x.contentName, PromptTokens: request.PromptTokens, AnswerTokens: answerTokens,
+		SharedParts: request.SharedParts, Content: x.contentName, PromptTokens: request.PromptTokens, AnswerTokens: plannedAnswerTokens(request),
 		Priority: x.inbound.priority, Deadline: x.inbound.deadline,
 		Forwarded: x.inbound.forwarded, PriorRuns: x.inbound.priorRuns,
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -110,7 +110,7 @@
 	p.store = platform.NewStore(platformSettings.StoreAddress, storeTimeout, watchTimeout, p.recordStoreCall)
 	p.control = newControl(core, p.clock, logger, p.metrics)
 	p.storeView = newStoreView(p.clock, logger, p.control.post)
-	p.drain = &drainState{clock: p.clock, grace: platformSettings.GracePeriod}
+	p.drain = newDrainState(p.clock, platformSettings.GracePeriod)
 	p.peers, err = newPeers(p.selfMember(), p.clock, logger, p.control.post)
 	if err != nil {
 		return nil, err
@@ -382,12 +382,16 @@
 // stop finishes the requests in flight. It makes the readiness check fail and
 // removes this host's entry from the store, keeps accepting requests until the
 // load balancer has noticed, and then waits for the requests in flight until
-// the grace period is nearly over.
+// the grace period is nearly over. Those that can't end by then are refused, or
+// broken off if they have begun.
 func (p *Process) stop() error {
 	defer p.markDrained()
 	p.drain.begin()
 	logevent.ProcessStopping.Emit(p.logger, log.Fields{"in_flight": p.control.inFlight(), "grace_ms": p.drain.grace.Milliseconds()})
-	deadline := p.clock.Now() + p.drain.timeLeft(p.clock.Now())
+	p.control.post(balance.HostStopping{EndsAt: p.drain.requestsEndAt()})
+	lastAnswers := time.AfterFunc(p.drain.requestsEndAt()-p.clock.Now(), p.drain.endRequests)
+	defer lastAnswers.Stop()
+	deadline := p.drain.processEndsAt()
 	p.removeOwnEntry()
 	time.Sleep(min(balancerNoticeTime, deadline-p.clock.Now()))
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, deadline-p.clock.Now()))
