Refuse what waits for a service that the configuration dropped

Cause: a waiting request asks its coordinator again each 250 ms, and newQuery took the pool of the request's service as given, which is removed with the last server of a service that is no longer declared. Hosts that choose for themselves held such a request until its time was over. A request whose memory was being reserved was sent to the servers although they were no longer registered.

The servers of a service are looked up through upstreamsOf, which returns none for a service that is not known. A waiting request of a service that is neither declared nor has a server that takes requests is refused at once. A reservation's result counts only while its servers are registered.

--- a/internal/balance/coordination.go
+++ b/internal/balance/coordination.go
@@ -289,7 +289,7 @@
 		PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens, Priority: r.Priority,
 		Age: now - r.arrivedAt, TimeLeft: r.Deadline - now,
 	}
-	for _, u := range c.servicePools[r.Service].upstreams {
+	for _, u := range c.upstreamsOf(r.Service) {
 		switch {
 		case r.tried[u.ID] && len(q.Tried) < maxNamedUpstreams:
 			q.Tried = append(q.Tried, u.ID)
--- a/internal/balance/intake.go
+++ b/internal/balance/intake.go
@@ -126,7 +126,7 @@
 func (c *Core) exceedsLimits(r *request, now time.Duration) bool {
 	timeLeft := c.refusalTime(r) - now
 	admitted := 0.0
-	for _, u := range c.servicePools[r.Service].upstreams {
+	for _, u := range c.upstreamsOf(r.Service) {
 		switch {
 		case !u.accepting():
 		case u.intake.limit == 0:
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -105,11 +105,7 @@
 // restEnd returns when the first server of a service ends its rest, if all that accept
 // requests rest.
 func (c *Core) restEnd(service string, now time.Duration) (end time.Duration, allRest bool) {
-	pool := c.servicePools[service]
-	if pool == nil {
-		return 0, false
-	}
-	for _, u := range pool.upstreams {
+	for _, u := range c.upstreamsOf(service) {
 		switch {
 		case !u.accepting():
 		case !u.intake.resting(now):
@@ -129,11 +125,11 @@
 	return allRest && end > min(latest, c.refusalTime(r))
 }
 
-// mayStillBeSent reports whether the members of a plan still take the request, after the
-// time for which their memory was being reserved.
-func (p *plan) mayStillBeSent(now time.Duration) bool {
+// mayStillBeSent reports whether the members of a plan are still registered and take the
+// request, after the time for which their memory was being reserved.
+func (c *Core) mayStillBeSent(p *plan, now time.Duration) bool {
 	for i, u := range p.members {
-		if !u.accepting() || i == 0 && u.intake.resting(now) {
+		if c.upstreams[u.ID] != u || !u.accepting() || i == 0 && u.intake.resting(now) {
 			return false
 		}
 	}
--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -164,7 +164,7 @@
 // allUnreachable reports whether this host can't reach any server of the request's
 // service.
 func (c *Core) allUnreachable(r *request, now time.Duration) bool {
-	for _, u := range c.servicePools[r.Service].upstreams {
+	for _, u := range c.upstreamsOf(r.Service) {
 		if u.accepting() && !c.isUnreachable(u, now) {
 			return false
 		}
@@ -189,8 +189,7 @@
 	for _, dataCentre := range c.dataCentres {
 		anyCut = anyCut || c.path(dataCentre).cut
 	}
-	pool := c.servicePools[service]
-	return anyCut && pool != nil && slices.ContainsFunc(pool.upstreams, func(u *upstream) bool { return c.path(u.DataCentre).cut })
+	return anyCut && slices.ContainsFunc(c.upstreamsOf(service), func(u *upstream) bool { return c.path(u.DataCentre).cut })
 }
 
 // Isolated reports whether this host can't reach any upstream at all. It returns
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -47,12 +47,8 @@
 // that it was sent to before, or that were at fault in an earlier attempt, are
 // returned only if there are no others.
 func (c *Core) candidates(r *request, now time.Duration) []*upstream {
-	pool := c.servicePools[r.Service]
-	if pool == nil {
-		return nil
-	}
 	var untried, alreadyTried []*upstream
-	for _, u := range pool.upstreams {
+	for _, u := range c.upstreamsOf(r.Service) {
 		switch {
 		case !u.usable(now), c.path(u.DataCentre).cut, !c.admits(u, r, now), r.asker.avoids(u):
 		case r.tried[u.ID]:
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -134,6 +134,9 @@
 		case c.endsTooSoon(r, now):
 			r.lastCode = CodeStopping
 			c.endRequest(r, now)
+		case c.isRetired(r.Service):
+			r.lastCode = CodeNoUpstream
+			c.endRequest(r, now)
 		case now > c.refusalTime(r), c.restsTooLong(r, now):
 			r.lastCode = CodeOverloaded
 			c.endRequest(r, now)
@@ -216,6 +219,10 @@
 	case CodePromptTooLarge, CodeTooLate:
 		return 0
 	case CodeNoUpstream:
+		if c.isRetired(r.Service) {
+			// The configuration that is in force has the service that answers instead.
+			return minRetryAfter
+		}
 		return noUpstreamRetryAfter
 	case CodeUpstreamsUnreachable:
 		return minRetryAfter
@@ -227,13 +234,11 @@
 		return wait + time.Duration(restSpread*c.random.Float64()*float64(wait))
 	}
 	shortestWait := maxRetryAfter
-	if pool := c.servicePools[r.Service]; pool != nil {
-		for _, u := range pool.upstreams {
-			if !u.accepting() {
-				continue
-			}
-			shortestWait = min(shortestWait, max(u.backlog(now), u.avoidUntil-now, u.intake.admitsAt(now)-now))
+	for _, u := range c.upstreamsOf(r.Service) {
+		if !u.accepting() {
+			continue
 		}
+		shortestWait = min(shortestWait, max(u.backlog(now), u.avoidUntil-now, u.intake.admitsAt(now)-now))
 	}
 	return min(maxRetryAfter, max(minRetryAfter, shortestWait, now-r.queuedAt))
 }
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -173,6 +174,24 @@
 	return pool
 }
 
+// upstreamsOf returns the upstreams of a service; none if the service is not known. A
+// request may name a service that the configuration no longer has.
+func (c *Core) upstreamsOf(service string) []*upstream {
+	if pool := c.servicePools[service]; pool != nil {
+		return pool.upstreams
+	}
+	return nil
+}
+
+// isRetired reports whether the configuration no longer has a service and none of its
+// servers takes requests.
+func (c *Core) isRetired(service string) bool {
+	if pool := c.servicePools[service]; pool != nil && pool.service != nil {
+		return false
+	}
+	return !slices.ContainsFunc(c.upstreamsOf(service), (*upstream).accepting)
+}
+
 // sortPools sorts the upstreams of every service, and removes services that
 // are neither declared nor have upstreams.
 func (c *Core) sortPools() {
