--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,6 +36,33 @@
 	Boot uint64 `json:"boot"`
 }
 
+// maxProcessorShare is the largest share of a processor that a host's entry may name.
+const maxProcessorShare = 1024
+
+// decodeHostSpec decodes the entry of a host. It returns an error for an entry of another
+// form, such as one of another writer: it names no host to send anything to.
+func decodeHostSpec(text []byte) (hostSpec, error) {
+	var spec hostSpec
+	if err := json.Unmarshal(text, &spec); err != nil {
+		return hostSpec{}, errors.Wrap(err, "decode the entry of a host")
+	}
+	if err := platform.CheckAddress(spec.Address); err != nil {
+		return hostSpec{}, errors.Wrap(err, "address")
+	}
+	if spec.Forward != "" {
+		if err := platform.CheckAddress(spec.Forward); err != nil {
+			return hostSpec{}, errors.Wrap(err, "forward")
+		}
+	}
+	if spec.DataCentre == "" {
+		return hostSpec{}, errors.New("data_centre is missing")
+	}
+	if spec.ProcessorShare < 0 || spec.ProcessorShare > maxProcessorShare {
+		return hostSpec{}, errors.Errorf("power is %g, must be 0 to %d", spec.ProcessorShare, maxProcessorShare)
+	}
+	return spec, nil
+}
+
 // peers holds the other hosts and exchanges messages with them.
 type peers struct {
 	self      member
@@ -117,8 +144,8 @@
 			delete(p.members, o.Name)
 			continue
 		}
-		var spec hostSpec
-		if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		spec, err := decodeHostSpec(o.Spec)
+		if err != nil {
 			logevent.RegistrationUnreadable.Emit(p.logger, log.Fields{"name": o.Name, "revision": o.Revision.Number, "error": err.Error()})
 			continue
 		}
