Go on with a stream only by an answer of the same status

Cause: the body of an answer that is no stream was written to the caller whatever that had already, and an answer without length that ends before its first event counted as broken off in the first attempt only.

Once a part of a stream has been passed on, an answer of another status ends the attempt, and so does an empty one without length.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -153,3 +154,56 @@
 	g.Expect(answer.body).To(Equal(expectedStream("r-1", 4)))
 	g.Expect(h.logs.hasEvent(7008)).To(BeTrue(), "another host was asked")
 }
+
+// TestErrorInPlaceOfTheRestIsNotPassedOn breaks streams off and lets the next server answer
+// with something else than the rest. It guards against an error's text within a stream,
+// and against a stream that ends as if it were complete.
+func TestErrorInPlaceOfTheRestIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{204, 206, 302, 400, 404, 413, 429, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			g := NewWithT(t)
+			h, _, engines, _ := setUp(t)
+			setFault(engines, standin.Truncating)
+			for _, s := range engines {
+				s.ResumeStatus = status
+			}
+			answer := h.sendPrompt("r-1", "5c:40,own:20")
+			g.Expect(answer.status).To(Equal(http.StatusOK), "the stream had begun")
+			g.Expect(answer.readError).To(HaveOccurred(), "it does not look complete")
+			g.Expect(answer.body).To(Equal(expectedStream("r-1", 2)))
+			g.Expect(receivedCount(engines)).To(Equal(2))
+		})
+	}
+}
+
+// TestErrorThroughAnotherHostInPlaceOfTheRestIsNotPassedOn guards against the same when
+// another host passes the answers on.
+func TestErrorThroughAnotherHostInPlaceOfTheRestIsNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	h, _, _, engines, _ := setUpCutOffHost(t)
+	setFault(engines, standin.Truncating)
+	for _, s := range engines {
+		s.ResumeStatus = http.StatusNoContent
+	}
+	answer := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(answer.readError).To(HaveOccurred(), "it does not look complete")
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", 2)))
+}
+
+// TestEmptyRestWithoutLengthIsNotTheEnd guards against a stream that ends as if it were
+// complete, since the server that was to go on with it ended before its first event.
+func TestEmptyRestWithoutLengthIsNotTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, _ := setUp(t)
+	setFault(engines, standin.Truncating)
+	for _, s := range engines {
+		s.EventInterval = 100 * time.Millisecond
+	}
+	go func() {
+		h.await(func() bool { return receivedCount(engines) == 1 }, "a server has the request")
+		setFault(engines, standin.UnframedEmpty)
+	}()
+	answer := h.sendPrompt("r-1", "5c:40,own:20")
+	g.Expect(answer.readError).To(HaveOccurred(), "it does not look complete")
+	g.Expect(answer.body).To(Equal(expectedStream("r-1", 2)))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,7 @@
 	errNoData          = errors.New("no data in time")
 	errOtherRequest    = errors.New("answer to another request")
 	errUnsigned        = errors.New("success without the server's signature")
+	errNotResumed      = errors.New("answer does not go on with the stream")
 	errFailureTooLarge = errors.New("error response of a server is too large")
 )
 
@@ -215,6 +216,9 @@
 		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errOtherRequest}
 	case head.Status < http.StatusMultipleChoices && !platform.HasServerSignature(response.Header):
 		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errUnsigned}
+	case a.responseStarted && head.Status != a.responseStatus:
+		// The caller has a part of a stream, and would take any other answer for the rest.
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errNotResumed}
 	case a.inbound.route.Kind == route.Stream && head.Status < http.StatusMultipleChoices:
 		return a.forwardStream(response)
 	default:
@@ -270,7 +274,7 @@
 	a.stopWatchdog()
 	platform.CopyResponseHeader(a.w.Header(), response.Header)
 	a.w.WriteHeader(response.StatusCode)
-	a.responseStarted = true
+	a.responseStarted, a.responseStatus = true, response.StatusCode
 	if _, err := a.w.Write(body); err != nil {
 		return outcome{class: balance.FailureAnswerLost, callerGone: true, err: err}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,10 +24,12 @@
 	// contentName returns the name of the request's content.
 	contentName func() string
 
-	// responseStarted is true once the caller has got the header of an answer.
+	// responseStarted is true once the caller has got the header of an answer, with
+	// responseStatus.
 	// lastEventID is the id of the last event of a stream that the caller has,
 	// -1 for none.
 	responseStarted bool
+	responseStatus  int
 	lastEventID     int64
 	// lastFailure is an upstream's own error response, which is forwarded if no
 	// attempt succeeds.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(response)
+			return a.finishStream(response, events.lastID != noEventID)
 		}
 		if err != nil {
 			return a.classifyInterrupted(err)
@@ -40,10 +40,12 @@
 }
 
 // finishStream completes a stream after its last event. If the caller has got
-// no event, it now gets the header. A stream without events that ends with its
-// connection was broken off: its end can't be told from that of its server.
-func (a *attempt) finishStream(response *http.Response) outcome {
-	if a.lastEventID == noEventID && a.eventsSent == 0 && isUnframed(response) {
+// no event, it now gets the header. An answer without events that ends with its
+// connection was broken off: its end can't be told from that of its server. Only a
+// caller that resumes a stream itself may have had the last event already.
+func (a *attempt) finishStream(response *http.Response, hasEvents bool) outcome {
+	resumedByCaller := a.inbound.request.LastEventID != noEventID && !a.responseStarted
+	if !hasEvents && isUnframed(response) && !resumedByCaller {
 		return outcome{class: balance.FailureAnswerLost, status: response.StatusCode, connectionBroken: true, err: errNoEvents}
 	}
 	if !a.responseStarted {
@@ -63,7 +65,7 @@
 	platform.CopyResponseHeader(a.w.Header(), response.Header)
 	a.w.Header().Del("Content-Length")
 	a.w.WriteHeader(response.StatusCode)
-	a.responseStarted = true
+	a.responseStarted, a.responseStatus = true, response.StatusCode
 	a.firstByteTime = a.clock.Now() - a.inbound.arrivedAt
 }
 
