Pass on no refusal without proof for what must run once

A server's own 408, 429 or 503 without the proof that it did not run the request was handed to the caller as it was. Callers take these statuses for that proof and may send a request again that must run once (REFUSED); found while looking for refusals that are written once more.

Cause: the host did not count such an answer as a proof for itself, but passed its status on.

For a request that may not be repeated such an answer counts as lost and the caller gets 502. An answer of another host counts as a refusal only if it names this request.

Evidence: TestRefusalWithoutProofIsNotPassedOn failed on the code before for all three statuses, at the host and through another one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,7 @@
 	errNoData          = errors.New("no data in time")
 	errOtherRequest    = errors.New("answer to another request")
 	errUnsigned        = errors.New("success without the server's signature")
+	errUnprovenRefusal = errors.New("refusal without proof that the request was not run")
 	errNotResumed      = errors.New("answer does not go on with the stream")
 	errFailureTooLarge = errors.New("error response of a server is too large")
 )
@@ -196,6 +197,8 @@
 		return outcome{class: balance.FailureServerReplaced, status: head.Status}
 	case head.NotExecuted:
 		return outcome{class: balance.FailureNoCapacity, status: head.Status, failedAddress: head.FaultyHelper, restTime: restTime(response)}
+	case a.isUnprovenRefusal(head):
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errUnprovenRefusal}
 	case head.Status >= http.StatusInternalServerError:
 		return a.bufferFailure(response, head)
 	default:
@@ -203,6 +206,13 @@
 	}
 }
 
+// isUnprovenRefusal reports whether the caller would take a response for the promise that
+// its request was not run, which its server does not give. The caller of a request that may
+// run only once would send it again.
+func (a *attempt) isUnprovenRefusal(head platform.UpstreamResponse) bool {
+	return !head.NotExecuted && platform.PromisesNotRun(head.Status) && !a.inbound.route.Repeatable()
+}
+
 // restTime returns the rest that a server asks for in a refusal, for logs.
 func restTime(response *http.Response) time.Duration {
 	rest, _ := platform.DecodeRestTime(response) // noticeReader logs the error
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -69,6 +69,8 @@
 	head := platform.DecodeUpstreamResponse(response, a.inbound.request.ID)
 	refused, failed := response.Header.Get(headerRefused), response.Header.Get(headerFailed)
 	switch {
+	case !head.MatchesRequest:
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errOtherRequest}
 	case refused != "":
 		return outcome{
 			class: balance.FailureHostRefused, status: head.Status,
@@ -76,6 +78,8 @@
 		}
 	case failed != "":
 		return outcome{class: balance.FailureAnswerLost, status: head.Status, finalCode: balance.ErrorCode(failed)}
+	case a.isUnprovenRefusal(head):
+		return outcome{class: balance.FailureAnswerLost, status: head.Status, err: errUnprovenRefusal}
 	default:
 		return a.forwardAnswer(response, head)
 	}
