Give a silent attempt up only for a server that can take it

Cause, as reproduced: the attempt was ended when its time limit was over, whether or not another server had room. The request then waited, or went back to the same server from its start.

Evidence: TestSilentServerIsKeptWhileNoOtherCanAnswer failed on the code before (sent twice).

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -64,9 +64,9 @@
 	return retries
 }
 
-// trySpend counts one retry if the requests and retries of the last window
-// allow it, and reports whether they do.
-func (b *retryBudget) trySpend(now time.Duration, config *Config, hosts int) bool {
+// canSpend reports whether the requests and retries of the last window allow one more
+// retry.
+func (b *retryBudget) canSpend(now time.Duration, config *Config, hosts int) bool {
 	requests, retries := 0, b.spent(now, config.RetryWindow)
 	for _, bucket := range b.buckets {
 		if now-bucket.start <= config.RetryWindow {
@@ -74,7 +74,12 @@
 		}
 	}
 	allowed := config.RetryRatio*float64(requests) + spendableSlackShare*float64(config.RetrySlack)/float64(hosts)
-	if float64(retries+1) > allowed {
+	return float64(retries+1) <= allowed
+}
+
+// trySpend counts one retry if canSpend allows it, and reports whether it does.
+func (b *retryBudget) trySpend(now time.Duration, config *Config, hosts int) bool {
+	if !b.canSpend(now, config, hosts) {
 		return false
 	}
 	b.currentBucket(now, config.RetryWindow).retries++
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutline/chestnutline/internal/balance"
 	"github.com/chestnutline/chestnutline/platform/standin"
 )
 
@@ -207,3 +209,45 @@
 	g.Expect(answer.readError).To(HaveOccurred(), "it does not look complete")
 	g.Expect(answer.body).To(Equal(expectedStream("r-1", 2)))
 }
+
+// TestSilentServerIsKeptWhileNoOtherCanAnswer guards against a request that is taken from a
+// sound server which is silent for a moment, waits for another one in vain, and fails while
+// the first one goes on.
+func TestSilentServerIsKeptWhileNoOtherCanAnswer(t *testing.T) {
+	for name, faults := range map[string]struct{ beforeFirst, within time.Duration }{
+		"before the answer": {beforeFirst: 1600 * time.Millisecond},
+		"within the answer": {within: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, store, engines, _ := setUp(t)
+			store.Remove(standin.KindServers, engines[1].ID)
+			h.await(func() bool { return h.serverCount("llm") == 1 }, "one server is left")
+			engines[0].EventCount = 4
+			if faults.within > 0 {
+				engines[0].Pause = faults.within
+				setFault(engines, standin.Pausing)
+			} else {
+				engines[0].EventInterval, engines[0].EventCount = faults.beforeFirst, 1
+			}
+			answer := h.sendPrompt("r-1", "5c:40,own:20")
+			g.Expect(answer.readError).NotTo(HaveOccurred())
+			g.Expect(answer.body).To(Equal(expectedStream("r-1", engines[0].EventCount)))
+			g.Expect(receivedCount(engines)).To(Equal(1), "not sent again")
+		})
+	}
+}
+
+// serverCount returns the number of servers of a service that the host knows.
+func (h *testHost) serverCount(service string) (n int) {
+	dump, err := h.process.Dump(context.Background())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for _, u := range dump.(balance.Dump).Upstreams {
+		if u.Service == service {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 	startedAt time.Duration
 	// watchdog cancels the attempt with errNoData when the upstream sends
 	// nothing in time.
-	watchdog *time.Timer
+	watchdog *watchdog
 }
 
 // outcome describes how an attempt ended. The class is empty if the answer was
@@ -132,17 +132,27 @@
 func (a *attempt) restartWatchdog(timeout time.Duration) {
 	a.stopWatchdog()
 	if timeout > 0 {
-		a.watchdog = time.AfterFunc(timeout, func() { a.cancel(errNoData) })
+		a.watchdog = startWatchdog(timeout, a.endIfSilent)
 	}
 }
 
 // stopWatchdog removes the time limit.
 func (a *attempt) stopWatchdog() {
 	if a.watchdog != nil {
-		a.watchdog.Stop()
+		a.watchdog.stop()
 	}
 }
 
+// endIfSilent ends an attempt whose time limit is over if another upstream can take the
+// request. It reports whether it did.
+func (a *attempt) endIfSilent() bool {
+	if !a.control.hasAlternative(a.ctx, a.requestNumber, a.send.Attempt) {
+		return false
+	}
+	a.cancel(errNoData)
+	return true
+}
+
 // classifyFailedCall classifies an attempt that failed before the header of an
 // answer arrived.
 func (a *attempt) classifyFailedCall(err error) outcome {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -82,6 +82,21 @@
 // post queues an event for the control thread.
 func (c *control) post(e balance.Event) { c.events <- e }
 
+// hasAlternative reports whether another upstream could take a request whose attempt is
+// silent. It returns false if the context ends first.
+func (c *control) hasAlternative(ctx context.Context, requestNumber uint64, attempt int) bool {
+	result := make(chan bool, 1)
+	ask := func(core *balance.Core, now time.Duration) {
+		result <- core.HasAlternative(requestNumber, attempt, now)
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case c.inspect <- ask:
+		return <-result
+	}
+}
+
 // subscribe returns a new channel on which the goroutine of a request receives
 // its effects. The goroutine calls unsubscribe when the request has ended.
 func (c *control) subscribe(requestNumber uint64) <-chan balance.Effect {
