Let answers that have begun go on until their host ends

The attempts that were under way 200 ms before the end of a stopped host were ended, so that their callers get an answer. Nothing is gained by that for an answer that has begun: its caller can only see it broken off, and it may still end in that time. It goes on now until the process ends.

--- a/internal/balance/stop.go
+++ b/internal/balance/stop.go
@@ -6,6 +6,10 @@
 	"github.com/chestnutline/chestnutline/internal/route"
 )
 
+// A host that is stopped goes on for its grace period. What it refuses then answers the load
+// of hosts that are stopped in turn while prompts wait for servers: each of them would hold
+// requests that other hosts could still answer.
+
 // StoppingRetryAfter is the time after which a host that stops tells callers to come back;
 // another host takes their connections at once.
 const StoppingRetryAfter = 50 * time.Millisecond
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,9 @@
 	// watchdog cancels the attempt with errNoData when the upstream sends
 	// nothing in time.
 	watchdog *watchdog
+	// ignoreHostStop lets the attempt go on when the last answers are due before the
+	// process ends; nil if it does anyway.
+	ignoreHostStop func() bool
 }
 
 // outcome describes how an attempt ended. The class is empty if the answer was
@@ -76,7 +79,11 @@
 	a.startedAt = a.clock.Now()
 	deadlineTimer := time.AfterFunc(a.send.Deadline-a.startedAt, func() { a.cancel(context.DeadlineExceeded) })
 	defer deadlineTimer.Stop()
-	defer context.AfterFunc(a.drain.requestsEnded, func() { a.cancel(errHostStopping) })()
+	if !a.responseStarted {
+		// An answer that has begun may still end while the process does.
+		a.ignoreHostStop = context.AfterFunc(a.drain.requestsEnded, func() { a.cancel(errHostStopping) })
+		defer a.ignoreHostStop()
+	}
 	connectTimer := time.AfterFunc(a.send.ConnectTimeout, func() { a.cancel(errNotConnected) })
 	defer connectTimer.Stop()
 	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
@@ -292,9 +299,7 @@
 	}
 	// The answer can't come from another server any more, however long this one pauses.
 	a.stopWatchdog()
-	platform.CopyResponseHeader(a.w.Header(), response.Header)
-	a.w.WriteHeader(response.StatusCode)
-	a.responseStarted, a.responseStatus = true, response.StatusCode
+	a.startResponse(response)
 	if _, err := a.w.Write(body); err != nil {
 		return outcome{class: balance.FailureAnswerLost, callerGone: true, err: err}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,7 +49,7 @@
 		return outcome{class: balance.FailureAnswerLost, status: response.StatusCode, connectionBroken: true, err: errNoEvents}
 	}
 	if !a.responseStarted {
-		a.startResponse(response)
+		a.startStream(response)
 	}
 	return outcome{status: response.StatusCode}
 }
@@ -60,13 +60,21 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+// startStream sends the header of a stream to the caller.
+func (a *attempt) startStream(response *http.Response) {
+	response.Header.Del("Content-Length")
+	a.startResponse(response)
+	a.firstByteTime = a.clock.Now() - a.inbound.arrivedAt
+}
+
 // startResponse sends the header of the answer to the caller.
 func (a *attempt) startResponse(response *http.Response) {
+	if a.ignoreHostStop != nil {
+		a.ignoreHostStop()
+	}
 	platform.CopyResponseHeader(a.w.Header(), response.Header)
-	a.w.Header().Del("Content-Length")
 	a.w.WriteHeader(response.StatusCode)
 	a.responseStarted, a.responseStatus = true, response.StatusCode
-	a.firstByteTime = a.clock.Now() - a.inbound.arrivedAt
 }
 
 // forwardEvent sends one event to the caller.
@@ -75,7 +83,7 @@
 		a.control.post(balance.FirstPiece{RequestNumber: a.requestNumber, Attempt: a.send.Attempt})
 	}
 	if !a.responseStarted {
-		a.startResponse(response)
+		a.startStream(response)
 	}
 	controller := http.NewResponseController(a.w)
 	if err := controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
