--- a/internal/balance/core.go
+++ b/internal/balance/core.go
@@ -50,9 +50,9 @@
 	coordination
 	// fairness compares how often prompts of different lengths get servers.
 	fairness fairness
-	// endsAt is the time from which on this host answers nothing any more; 0 unless it
+	// hostEndsAt is the time from which on this host answers nothing any more; 0 unless it
 	// stops.
-	endsAt time.Duration
+	hostEndsAt time.Duration
 	// reportDelay is the time that a report of another host takes to arrive
 	// here.
 	reportDelay time.Duration
@@ -129,7 +129,7 @@
 	case DeadlinePassed:
 		c.handleDeadlinePassed(e, now)
 	case HostStopping:
-		c.endsAt = e.EndsAt
+		c.hostEndsAt = e.EndsAt
 	case LimitObserved:
 		c.handleLimitObserved(e, now)
 	case AnswerNotice:
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -131,7 +131,7 @@
 		case c.isQuarantined(r, now) && !r.isTrial:
 			r.lastCode = CodePromptQuarantined
 			c.endRequest(r, now)
-		case c.endsTooSoon(r, now):
+		case c.stopsBeforeAnswer(r, now):
 			r.lastCode = CodeStopping
 			c.endRequest(r, now)
 		case c.isRetired(r.Service):
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -142,7 +142,7 @@
 // empty if it can be. A prompt may use the memory of as many servers as the
 // largest group has, which is maxHelpers+1.
 func (c *Core) unservableReason(r *request, now time.Duration) ErrorCode {
-	if c.endsTooSoon(r, now) {
+	if c.stopsBeforeAnswer(r, now) {
 		return CodeStopping
 	}
 	pool := c.servicePools[r.Service]
@@ -422,7 +422,7 @@
 		c.endRequest(r, now)
 		return
 	}
-	if c.endsTooSoon(r, now) {
+	if c.stopsBeforeAnswer(r, now) {
 		r.lastCode = CodeStopping
 		c.endRequest(r, now)
 		return
@@ -493,7 +493,7 @@
 	c.removeFromQueue(r)
 	r.lastCode = CodeOverloaded
 	switch {
-	case c.endsAt > 0 && now < r.Deadline:
+	case c.hostEndsAt > 0 && now < r.Deadline:
 		r.lastCode = CodeStopping
 	case r.possibleRuns > 0:
 		r.lastCode = CodeTimeLimit
--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -11,7 +11,7 @@
 	if r == nil || r.forwardedTo != nil || len(r.reservations) > 0 {
 		return true
 	}
-	if c.endsTooSoon(r, now) || !c.budgetOfService(r.Service).canSpend(now, &c.config, c.otherHosts+1) {
+	if c.stopsBeforeAnswer(r, now) || !c.budgetOfService(r.Service).canSpend(now, &c.config, c.otherHosts+1) {
 		return false
 	}
 	p := c.place(r, now)
--- a/internal/balance/stop.go
+++ b/internal/balance/stop.go
@@ -37,25 +37,25 @@
 	return r.TargetLatency/2 + time.Duration(answerTokens)*cautiousDecodeTime + time.Duration(promptTokens)*cautiousPrefillTime
 }
 
-// endsTooSoon reports whether this host stops before it could answer a request. A request
-// that may have run is given up only if no answer at all can come in time, since its caller
-// may not send it again.
-func (c *Core) endsTooSoon(r *request, now time.Duration) bool {
+// stopsBeforeAnswer reports whether this host stops before it could answer a request. A
+// request that may have run is given up only if no answer at all can come in time, since
+// its caller may not send it again.
+func (c *Core) stopsBeforeAnswer(r *request, now time.Duration) bool {
 	switch {
-	case c.endsAt == 0 || r.asker != nil:
+	case c.hostEndsAt == 0 || r.asker != nil:
 		return false
 	case r.possibleRuns > 0 || r.partlyDelivered:
-		return c.endsAt-now < c.minServiceTime(r)
+		return c.hostEndsAt-now < c.minServiceTime(r)
 	default:
-		return c.endsAt-now < CautiousDuration(r.Route, r.PromptTokens, r.AnswerTokens)
+		return c.hostEndsAt-now < CautiousDuration(r.Route, r.PromptTokens, r.AnswerTokens)
 	}
 }
 
 // outlastsHost reports whether this host would stop before an attempt by a plan has ended,
-// so that the attempt is not begun. Like endsTooSoon it lets a request be tried on that may
-// have run.
+// so that the attempt is not begun. Like stopsBeforeAnswer it lets a request be tried on
+// that may have run.
 func (c *Core) outlastsHost(r *request, p *plan, now time.Duration) bool {
-	if c.endsAt == 0 || r.possibleRuns > 0 || r.partlyDelivered || r.PromptTokens == 0 {
+	if c.hostEndsAt == 0 || r.possibleRuns > 0 || r.partlyDelivered || r.PromptTokens == 0 {
 		return false
 	}
 	leader := p.members[0]
@@ -65,5 +65,5 @@
 	load := leader.load()
 	passes := r.AnswerTokens/max(1, leader.engine.StepsPerPass) + 1
 	decoding := time.Duration(passes) * passTime(leader.engine, load.leaders+1, load.contextTokens+r.PromptTokens)
-	return now+durationMargin*(p.predictedFirstPiece+decoding)+toleratedSilence > c.endsAt
+	return now+durationMargin*(p.predictedFirstPiece+decoding)+toleratedSilence > c.hostEndsAt
 }
--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -18,7 +18,7 @@
 var (
 	errEventTooLarge   = errors.New("event of a stream is too large")
 	errInvalidLine     = errors.New("line of a stream is neither a field nor a comment")
-	errEventWithoutID  = errors.New("event of a stream has no id")
+	errEventWithoutID  = errors.New("event of a stream has no valid id")
 	errEventOutOfOrder = errors.New("event of a stream has no higher id than the one before")
 )
 
