--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -254,31 +254,6 @@
 	c.emit(s)
 }
 
-// firstPieceTimeout returns how long the first piece of an answer is waited for
-// before another upstream is tried. For a safe request it depends only on the
-// latency objective. Parts of other prompts may be prefilled ahead of a long
-// prompt that is far from being late. The wait for a stream is therefore at
-// least half of the delay that its caller tolerates: sending a long prompt again
-// would repeat its prefill, which delays all other requests.
-func firstPieceTimeout(r *route.Route, predicted time.Duration) time.Duration {
-	if r.Kind == route.Safe {
-		return safeAnswerFactor * r.TargetLatency
-	}
-	return max(minFirstPieceTimeout, firstPieceFactor*predicted+firstPieceSlack, time.Duration(firstPieceTimeoutShare*float64(toleratedDelay(r))))
-}
-
-// pieceTimeout returns the pause after which a stream is continued on another
-// upstream.
-func pieceTimeout(r *route.Route) time.Duration {
-	return max(minPieceTimeout, time.Duration(pieceTimeoutShare*float64(toleratedDelay(r))))
-}
-
-// toleratedDelay returns how long callers wait for the first or the next event
-// of a stream before they leave.
-func toleratedDelay(r *route.Route) time.Duration {
-	return max(minToleratedDelay, toleratedGapMultiple*r.TargetPieceGap, toleratedLatencyMultiple*r.TargetLatency)
-}
-
 // urgency returns the rank of a request within a server, from 0 to 9; lower
 // ranks are admitted first. Shorter prompts and requests with a lower priority
 // number get lower ranks.
