Pass blank lines of a stream on with the block behind them

Cause, by reading and a test: random bytes that begin with a line feed begin with a blank line, which was passed on at once as a block without meaning; one noisy answer in 256 begins so.

Blank lines now belong to the block behind them. They reach the caller with it, or at a clean end of the stream.

Evidence: "blank line, then zeros" of TestBytesThatAreNoEventAreRejected failed on the code before; sound streams with blank lines are read byte for byte as before.

--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -45,17 +45,22 @@
 	return &eventReader{r: bufio.NewReader(body), lastID: noEventID}
 }
 
-// next reads one event. It returns io.EOF when the stream ends between two events,
+// next reads one event, with the blank lines before it: alone they can't be told from
+// bytes without meaning. It returns io.EOF when the stream ends between two events,
 // io.ErrUnexpectedEOF when it ends within one, and one of the errors above for bytes
 // that are no event or whose id does not follow that of the event before.
 func (er *eventReader) next() (streamEvent, error) {
 	e := streamEvent{id: noEventID}
-	isEvent := false
+	isEvent, isBlank := false, true
 	for {
 		line, err := er.readLine(&e)
 		if err != nil {
-			return e, err
+			return e, endOfStream(e, err)
+		}
+		if len(line) == 0 && isBlank {
+			continue
 		}
+		isBlank = false
 		if len(line) == 0 {
 			return e, er.checkOrder(e, isEvent)
 		}
@@ -75,6 +80,19 @@
 	}
 }
 
+// endOfStream returns what an error of reading means after the given part of an event.
+// After blank lines alone the stream has ended, which the next call of next reports.
+func endOfStream(e streamEvent, err error) error {
+	switch {
+	case !errors.Is(err, io.EOF) || len(e.raw) == 0:
+		return err
+	case len(bytes.Trim(e.raw, "\r\n")) == 0:
+		return nil
+	default:
+		return io.ErrUnexpectedEOF
+	}
+}
+
 // checkOrder returns an error if an event lacks an id or its id does not rise.
 func (er *eventReader) checkOrder(e streamEvent, isEvent bool) error {
 	switch {
@@ -104,8 +122,6 @@
 			if _, _, err := parseLine(e.raw[start:]); err != nil {
 				return nil, err
 			}
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
-			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		default:
--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	. "github.com/onsi/gomega"
 )
@@ -40,7 +41,7 @@
 		"any bytes as data":    {"id: 0\ndata: \x00\xff\xfe\r: {\n\n"},
 		"long line":            {"id: 0\n" + longLine + "\n"},
 		"gaps between the ids": {"id: 2\ndata: a\n\n", "id: 9\ndata: b\n\n"},
-		"blank lines":          {"\n", "id: 2\ndata: a\n\n", "\n"},
+		"blank lines":          {"\n\r\nid: 2\ndata: a\n\n", "\n: comment\n\n", "\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -61,22 +62,24 @@
 		noise[i] = byte(random.Uint32())
 	}
 	for name, bytes := range map[string]string{
-		"random bytes":          string(noise),
-		"zeros without end":     strings.Repeat("\x00", maxEventBytes),
-		"letters without end":   strings.Repeat("x", maxEventBytes),
-		"comment without end":   ":" + strings.Repeat("x", maxEventBytes),
-		"binary comment":        ": \xff\xfe\n\n",
-		"event without id":      "data: a\n\n",
-		"text":                  "upstream failed\n\n",
-		"text with a colon":     "error: upstream failed\n\n",
-		"head of a response":    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno",
-		"headers of a response": "Content-Length: 2\r\nRequest-Id: r\r\n\r\n",
-		"the same id again":     sound,
-		"a lower id":            "id: 3\ndata: a\n\n",
-		"a negative id":         "id: -1\ndata: a\n\n",
-		"an id that is none":    "id: x\ndata: a\n\n",
-		"a JSON object":         `{"error":"no"}` + "\n\n",
-		"an unfinished event":   "id: 5\nda",
+		"random bytes":            string(noise),
+		"blank line, then zeros":  "\n\r\n" + strings.Repeat("\x00", 100),
+		"blank lines without end": strings.Repeat("\n", maxEventBytes+1),
+		"zeros without end":       strings.Repeat("\x00", maxEventBytes),
+		"letters without end":     strings.Repeat("x", maxEventBytes),
+		"comment without end":     ":" + strings.Repeat("x", maxEventBytes),
+		"binary comment":          ": \xff\xfe\n\n",
+		"event without id":        "data: a\n\n",
+		"text":                    "upstream failed\n\n",
+		"text with a colon":       "error: upstream failed\n\n",
+		"head of a response":      "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno",
+		"headers of a response":   "Content-Length: 2\r\nRequest-Id: r\r\n\r\n",
+		"the same id again":       sound,
+		"a lower id":              "id: 3\ndata: a\n\n",
+		"a negative id":           "id: -1\ndata: a\n\n",
+		"an id that is none":      "id: x\ndata: a\n\n",
+		"a JSON object":           `{"error":"no"}` + "\n\n",
+		"an unfinished event":     "id: 5\nda",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -86,3 +89,19 @@
 		})
 	}
 }
+
+// TestBrokenConnectionEndsAStream guards against a reader that takes a broken connection for
+// blank lines and reads on forever.
+func TestBrokenConnectionEndsAStream(t *testing.T) {
+	for _, read := range []string{"", "\n", "id: 0\ndata: a\n\n", "id: 0\nda"} {
+		g := NewWithT(t)
+		reader := newEventReader(io.MultiReader(strings.NewReader(read), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		var err error
+		for range 3 {
+			if _, err = reader.next(); err != nil {
+				break
+			}
+		}
+		g.Expect(err).To(MatchError(io.ErrUnexpectedEOF), "%q", read)
+	}
+}
