Show a host that keeps an old configuration after it missed a series

Cause: an answer to a watch above 8 MiB is cut and fails to decode, and the same watch is repeated for ever.

--- a/review/rig-2/testdata/storm.go
+++ b/review/rig-2/testdata/storm.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,9 +13,9 @@
 func storm(r *rig, trouble bool) []string {
 	b := bounds{drainMs: 2000, configApplyMs: 2000, stableWindowMs: 3000}
 	const (
-		routes   = 1000
-		versions = 60
-		gap      = 60 * time.Millisecond
+		routes   = 2800
+		versions = 24
+		gap      = 80 * time.Millisecond
 		away     = 5500 * time.Millisecond
 		after    = 20 * time.Second
 		// skew is maxSkewMs, by which an unstable core would stretch the bound: it is granted
@@ -38,6 +39,9 @@
 		return c
 	}
 	version := 7
+	text, err := json.Marshal(config(version, false, "old"))
+	check(err)
+	r.note("a version has %d bytes (valueBytes is 1048576)", len(text))
 	r.store.put("config", "main", config(version, false, "old"))
 	var servers []*server
 	zones := []string{"x-a", "x-b", "x-c"}
