--- a/review/rig-2/testdata/main.go
+++ b/review/rig-2/testdata/main.go
@@ -6,10 +6,17 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the longest time that a case may take.
+const longest = 110 * time.Second
+
 func main() {
 	cases := map[string]func(r *rig, trouble bool) []string{
 		"scale-in": scaleIn, "storm": storm, "paths": paths,
@@ -19,6 +26,15 @@
 		os.Exit(2)
 	}
 	r := newRig()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(longest):
+		}
+		check(errors.New("ended from outside, or after too long"))
+	}()
 	broken := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	for _, line := range broken {
 		r.note("BROKEN %s", line)
