End a request in the core when its goroutine panics

Callers saw: their connection closed without an answer. What they did not see: the request stayed in the decision core, as one that is running at its server, until the process was restarted, and so did the place and the memory that the core counts there. A host that gets such answers again and again ends up refusing sound requests.

Cause: the core learns of the end of a request from the goroutine that answers it. A panic of that goroutine, such as that of net/http for the status 000 of a server, ended it without a word.

Change: the goroutine tells the core, logs event 7009, counts the request as failed, and panics on, so that net/http closes the connection as before. Answers that are broken off on purpose have ended in the core already.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -57,12 +58,36 @@
 // waited for.
 const decisionTimeout = 500 * time.Millisecond
 
-// run posts the request to the core and executes the core's effects until the
-// request has ended.
+// run answers the request.
 func (x *exchange) run() {
 	effects := x.control.subscribe(x.requestNumber)
 	defer x.control.unsubscribe(x.requestNumber)
 	defer func() { x.failureMemory.release() }()
+	defer func() {
+		if reason := recover(); reason != nil {
+			x.endPanicked(reason)
+			panic(reason)
+		}
+	}()
+	x.executeEffects(effects)
+}
+
+// endPanicked ends a request whose goroutine has panicked. The core would count it as running
+// at its server for as long as the process lives.
+func (x *exchange) endPanicked(reason any) {
+	if reason == http.ErrAbortHandler {
+		// The answer was broken off on purpose, after the request had ended.
+		return
+	}
+	x.control.post(balance.CallerGone{RequestNumber: x.requestNumber})
+	logevent.RoutedPanicked.Emit(x.logger, log.Fields{"request": x.inbound.request.ID, "upstream": x.upstream, "error": fmt.Sprint(reason)})
+	x.metrics.Count("gateway_panics_total", 1)
+	x.countEnded("failed")
+}
+
+// executeEffects posts the request to the core and executes the core's effects until the
+// request has ended.
+func (x *exchange) executeEffects(effects <-chan balance.Effect) {
 	x.control.post(x.arrivedEvent())
 	deadlineTimer := time.NewTimer(x.inbound.deadline - x.clock.Now())
 	defer deadlineTimer.Stop()
--- a/internal/logevent/gateway.go
+++ b/internal/logevent/gateway.go
@@ -12,6 +12,7 @@
 	CallerLeft              = declare(7005, log.InfoLevel, "caller left", "The caller closed its connection before the answer was complete; the work for it was cancelled.")
 	EffectDropped           = declare(7006, log.ErrorLevel, "effect dropped", "More decisions were waiting for a request than its queue can hold, and one was dropped. Report this as a fault.")
 	RoutedForwarded         = declare(7008, log.InfoLevel, "request passed on", "This host reaches no server for the request and passed it on to the host in field host, which answers through its own servers.")
+	RoutedPanicked          = declare(7009, log.ErrorLevel, "request panicked", "The goroutine that answered a request panicked; its caller's connection was closed, and the work for it was cancelled. Report this as a fault.")
 	MemoryReserved          = declare(7010, log.InfoLevel, "memory reserved", "A server was asked to reserve memory for a prompt; ok says whether it did.")
 	MemoryNotReleased       = declare(7011, log.InfoLevel, "memory not released", "A server did not confirm the release of a memory reservation. The memory is free again when the reservation's lease ends.")
 	UpstreamExcluded        = declare(7020, log.InfoLevel, "upstream excluded", "The outcome of requests showed that an upstream, or the path to a data centre, has problems; it gets no requests for a while. Field belief also tells when a data centre is reached again.")
