Accept no response whose status no final response can have

Callers saw: for a server's signed answer with status 000 a connection that was closed without an answer, and for 101, 600 or 999 that status, as if it were an answer.

Cause: net/http reads any three characters that make a number of 0 or more, and the gateway took what net/http returns for an answer. Statuses below 100 can't be written to a caller (a panic); 101 was passed on although no request asks for another protocol.

Evidence: TestInvalidStatusIsNotPassedOn lets servers send eight statuses to streams, unsafe and safe calls, and three through another host. Now all get 502, an unsafe request reaches one server once, and nothing is left behind.

Change: a Transport in internal/httpcall checks the head of each response that net/http returns. It serves servers, other hosts, orders and the clients of engines and services; an invalid response counts as lost, so that the request may have run. Its connection is closed, also when it is in the pool already. Interim responses are bounded in number, since their trace lifts the bound of net/http on their size.

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -40,7 +41,7 @@
 // TestPanicLeavesNothingBehind guards against requests that take their place at a server
 // until the process ends, since the goroutine that answered them has panicked.
 func TestPanicLeavesNothingBehind(t *testing.T) {
-	for _, path := range []string{"/s/", "/u/", "/g/"} {
+	for _, path := range paths {
 		t.Run(path, func(t *testing.T) {
 			h, _, _, _ := setUp(t)
 			r := httptest.NewRequest("POST", path, http.NoBody)
@@ -64,8 +65,81 @@
 	for _, s := range append(engines, desks...) {
 		s.SetRawAnswer("HTTP/1.1 000 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok")
 	}
-	for _, path := range []string{"/s/", "/u/", "/g/"} {
-		h.sendCall("r-1", "POST", path)
+	for _, path := range paths {
+		h.sendTo(path, "r-1")
 	}
 	h.expectNothingLeft()
 }
+
+// paths are those of the routes for streams, unsafe calls and safe calls.
+var paths = []string{"/s/", "/u/", "/g/"}
+
+// sendTo sends a request that fits the route of a path.
+func (h *testHost) sendTo(path, id string) reply {
+	h.t.Helper()
+	if path == "/s/" {
+		return h.sendPrompt(id, "5c:40,own:20")
+	}
+	return h.sendCall(id, "POST", path)
+}
+
+// expectLost lets all servers answer with the same bytes, which are no valid answer, and
+// expects that callers get 502 and nothing of the bytes, that nothing of the requests is left
+// in the host, and that no unsafe request runs twice.
+func (h *testHost) expectLost(servers []*standin.Server, raw string) {
+	h.t.Helper()
+	g := NewWithT(h.t)
+	for _, s := range servers {
+		s.SetRawAnswer(raw)
+	}
+	for i, path := range paths {
+		id := fmt.Sprint("lost-", i)
+		answer := h.sendTo(path, id)
+		g.Expect(answer.readError).NotTo(HaveOccurred(), path)
+		g.Expect([]any{answer.status, answer.body}).To(Equal([]any{http.StatusBadGateway, ""}), path)
+		g.Expect(answer.header).NotTo(Or(HaveKey(standin.HeaderSignature), HaveKey("X-Marker")), path)
+		runs := 0
+		for _, s := range servers {
+			for _, r := range s.ReceivedRequests() {
+				if r.ID == id {
+					runs++
+				}
+			}
+		}
+		g.Expect(runs).To(BeNumerically(">", 0), "%s reaches a server", path)
+		if path == "/u/" {
+			g.Expect(runs).To(Equal(1), "not sent again")
+		}
+	}
+	h.expectNothingLeft()
+}
+
+// rawAnswer returns a signed answer without events, with the given first line and a line more.
+func rawAnswer(statusLine, line string) string {
+	return statusLine + "\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"
+}
+
+// TestInvalidStatusIsNotPassedOn guards against answers whose status no answer can have, of
+// servers and through another host.
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "099", "-00", "+20", "101", "199", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			h, _, engines, desks := setUp(t)
+			h.expectLost(append(engines, desks...), rawAnswer("HTTP/1.1 "+status+" OK", "X-Marker: 1"))
+		})
+	}
+	t.Run("through another host", func(t *testing.T) {
+		h, other, _, engines, desks := setUpCutOffHost(t)
+		for _, status := range []string{"000", "101", "600"} {
+			for _, s := range append(engines, desks...) {
+				s.SetRawAnswer(rawAnswer("HTTP/1.1 "+status+" OK", "X-Marker: 1"))
+			}
+			for _, path := range paths {
+				answer := h.sendTo(path, "r-"+status)
+				NewWithT(t).Expect(answer.status).To(Equal(http.StatusBadGateway), "%s %s", status, path)
+			}
+		}
+		h.expectNothingLeft()
+		other.expectNothingLeft()
+	})
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -13,7 +13,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"syscall"
 	"time"
@@ -109,37 +108,31 @@
 	config Config
 	mu     sync.Mutex
 	// pools holds a transport with its own connection pool for each address.
-	pools map[string]*http.Transport
+	pools map[string]*Transport
 	// unpooled opens a new connection for each call and closes it afterwards.
-	unpooled *http.Transport
+	unpooled *Transport
 	dialer   Dialer
 }
 
 // New returns a Client without connections.
 func New(config Config) *Client {
-	c := &Client{config: config, pools: make(map[string]*http.Transport), dialer: config.Dialer}
+	c := &Client{config: config, pools: make(map[string]*Transport), dialer: config.Dialer}
 	if c.dialer == nil {
 		c.dialer = &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.keepAlive(), Control: config.limitSilence}
 	}
 	c.unpooled = c.newTransport()
-	c.unpooled.DisableKeepAlives = true
+	c.unpooled.base.DisableKeepAlives = true
 	return c
 }
 
-// newTransport returns a transport whose connections count their writes.
-func (c *Client) newTransport() *http.Transport {
+// newTransport returns a transport with its own connection pool.
+func (c *Client) newTransport() *Transport {
 	dialer := c.dialer
 	if c.config.RedialAfter > 0 {
 		dialer = redialer{dialer: dialer, after: c.config.RedialAfter}
 	}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn, maxHeadLines: c.config.MaxHeaderLines}, nil
-		},
+	return NewTransport(&http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: c.config.MaxIdle,
 		IdleConnTimeout:     c.config.IdleTimeout,
@@ -147,11 +140,11 @@
 		WriteBufferSize:     32 << 10,
 
 		MaxResponseHeaderBytes: c.config.MaxHeaderBytes,
-	}
+	}, c.config.MaxHeaderLines)
 }
 
 // pool returns the transport for an address and creates it at the first call.
-func (c *Client) pool(address string) *http.Transport {
+func (c *Client) pool(address string) *Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.pools[address]
@@ -220,8 +213,7 @@
 // ErrNotSent or ErrResponseLost.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	var t connTracker
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
-	req, err := http.NewRequestWithContext(traced, call.Method, "http://"+call.Address+call.Path, nil)
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, nil)
 	if err != nil {
 		return nil, failure{kind: ErrNotSent, cause: err, call: call}
 	}
@@ -239,8 +231,7 @@
 	if !call.NewConnection {
 		transport = c.pool(call.Address)
 	}
-	resp, err := transport.RoundTrip(req)
-	t.endHeads()
+	resp, err := transport.roundTrip(req, &t)
 	if err == nil {
 		return resp, nil
 	}
@@ -260,57 +251,6 @@
 	return errors.Wrapf(conn.Close(), "close the probe of %s", address)
 }
 
-// connTracker records the connections that the transport gave to one request.
-type connTracker struct {
-	mu        sync.Mutex
-	handovers []handover
-}
-
-// handover is a connection together with the number of writes on it at the time
-// when the request got it. A nil conn is a connection whose writes are unknown.
-type handover struct {
-	conn         *countedConn
-	writesBefore uint64
-}
-
-// gotConn is called by the transport when it gives a connection to the request.
-func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	conn, ok := info.Conn.(*countedConn)
-	if !ok {
-		t.handovers = append(t.handovers, handover{})
-		return
-	}
-	t.handovers = append(t.handovers, handover{conn: conn, writesBefore: conn.writeCount()})
-	conn.beginHead()
-}
-
-// endHeads says that the header of the response has arrived, or never will.
-func (t *connTracker) endHeads() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, h := range t.handovers {
-		if h.conn != nil {
-			h.conn.inHead.Store(false)
-		}
-	}
-}
-
-// failureKind returns ErrNotSent if no connection was written to since the
-// request got it, and makes sure that none will be. Otherwise, or in doubt, it
-// returns ErrResponseLost.
-func (t *connTracker) failureKind() error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, h := range t.handovers {
-		if h.conn == nil || !h.conn.closeIfUnwritten(h.writesBefore) {
-			return ErrResponseLost
-		}
-	}
-	return ErrNotSent
-}
-
 // failure is the error of a call. Its kind is ErrNotSent or ErrResponseLost, its
 // cause the error of the transport.
 type failure struct {
