Accept no response with an invalid field name

Callers saw: answers of which a line of the head was missing; and where that line framed the body, a success with the chunks' lines within the body, or with bytes beyond the length that the line named.

Cause: net/http accepts a space in the name of a field, but neither understands such a field nor writes it. With "Transfer-Encoding : chunked" or "Content-Length : 2" the body was taken to end with its connection.

Evidence: TestInvalidFieldNameIsNotPassedOn sends 17 such answers to streams, unsafe and safe calls. Tabs, control characters, an empty name and a line without a colon were lost before too, and their cases stay.

Change: checkHead refuses a head with such a name, so that the answer is lost as a whole; that is the only reading in which the framing can't be wrong (RFC 9112, section 5.1). Interim responses are checked likewise.

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -114,9 +114,15 @@
 	h.expectNothingLeft()
 }
 
-// rawAnswer returns a signed answer without events, with the given first line and a line more.
-func rawAnswer(statusLine, line string) string {
-	return statusLine + "\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"
+// rawHead begins a signed answer, and rawEvent is a body that is one event of a stream.
+const (
+	rawHead  = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nX-Marker: 1\r\n"
+	rawEvent = "id: 0\ndata: token\n\n"
+)
+
+// rawAnswer returns a signed answer of one event, with the given status line and other lines.
+func rawAnswer(statusLine, lines string) string {
+	return fmt.Sprintf("%s\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, lines, len(rawEvent), rawEvent)
 }
 
 // TestInvalidStatusIsNotPassedOn guards against answers whose status no answer can have, of
@@ -143,3 +149,37 @@
 		other.expectNothingLeft()
 	})
 }
+
+// invalidNames are answers in whose head the name of a field has a space or a control
+// character, or is empty. X-Marker shows whether a head was passed on.
+var invalidNames = map[string]string{
+	"space within":             rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX Odd: 1"),
+	"space before the colon":   rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX-Odd : 1"),
+	"space after a folded one": rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\n folded: 1\r\nY : 1"),
+	"connection with a space":  rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nConnection : X-Marker"),
+	"chunks with a space":      rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nTransfer-Encoding : chunked"),
+	"tab":                      rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX\tOdd: 1"),
+	"tab before the colon":     rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX-Odd\t: 1"),
+	"zero":                     rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX\x00Odd: 1"),
+	"escape":                   rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX\x1bOdd: 1"),
+	"delete":                   rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX\x7fOdd: 1"),
+	"carriage return":          rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nX\rOdd: 1"),
+	"empty":                    rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\n: 1"),
+	"no colon":                 rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1\r\nodd"),
+	"failure":                  rawAnswer("HTTP/1.1 500 Error", "X-Marker: 1\r\nX Odd: 1"),
+	"interim answer":           "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + rawAnswer("HTTP/1.1 200 OK", "X-Marker: 1"),
+	"length with a space":      rawHead + "Content-Length : 2\r\n\r\n" + rawEvent,
+	"only chunks, with a space": rawHead + "Transfer-Encoding : chunked\r\n\r\n" +
+		fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rawEvent), rawEvent),
+}
+
+// TestInvalidFieldNameIsNotPassedOn guards against answers with a field whose name is none:
+// passed on without that line, or with the framing of the body in it.
+func TestInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	for name, raw := range invalidNames {
+		t.Run(name, func(t *testing.T) {
+			h, _, engines, desks := setUp(t)
+			h.expectLost(append(engines, desks...), raw)
+		})
+	}
+}
--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -15,16 +16,29 @@
 
 // Reasons for which a response is invalid.
 var (
-	errInvalidStatus   = errors.New("response has no valid final status")
+	errInvalidStatus    = errors.New("response has no valid final status")
+	errInvalidFieldName = errors.New("response has a field with an invalid name")
 	errTooManyInterims = errors.New("too many interim responses")
 )
 
 // checkHead returns an error for a response that is none in HTTP/1.1, although net/http
 // accepts it: a status that no final response can have (RFC 9110, section 15), which includes
-// 101, since no request asks for another protocol.
+// 101, since no request asks for another protocol, or an invalid field name.
 func checkHead(resp *http.Response) error {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return errors.Wrapf(errInvalidStatus, "status %d", resp.StatusCode)
 	}
+	return checkFieldNames(resp.Header)
+}
+
+// checkFieldNames returns an error for a field whose name is none. net/http accepts names with
+// spaces but does not understand them: a space before the colon of Transfer-Encoding or
+// Content-Length would leave the framing of the body unknown (RFC 9112, section 5.1).
+func checkFieldNames[header ~map[string][]string](h header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(errInvalidFieldName, "field %q", name)
+		}
+	}
 	return nil
 }
--- a/internal/httpcall/transport.go
+++ b/internal/httpcall/transport.go
@@ -99,14 +99,14 @@
 
 // gotInterim is called for each response that precedes the final one. An error ends the
 // request.
-func (t *connTracker) gotInterim(int, textproto.MIMEHeader) error {
+func (t *connTracker) gotInterim(_ int, header textproto.MIMEHeader) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.interims++
 	if t.interims > maxInterims {
 		return errTooManyInterims
 	}
-	return nil
+	return checkFieldNames(header)
 }
 
 // closeAll closes the connections of the request.
