Accept no response with an invalid status line

Callers saw: successes whose first line named another version of the protocol, or had control characters in its reason phrase.

Cause: net/http reads a version of two digits, whichever they are, and any bytes as the reason phrase. Such bytes are no answer in HTTP/1.1, and what frames them is not known.

Evidence: of the nine lines of TestInvalidStatusLineIsNotPassedOn, "HTTP/2.0", "HTTP/0.9" and two reason phrases were passed on as successes by the code before; the five others, such as a tab or a status of two or four digits, were lost already, and their cases stay.

Change: checkHead takes HTTP/1.x and visible characters only. Found while looking for what else net/http lets through; it was not reported.

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -150,6 +150,20 @@
 	})
 }
 
+// TestInvalidStatusLineIsNotPassedOn guards against answers that are in another version of the
+// protocol, or have control characters in their first line.
+func TestInvalidStatusLineIsNotPassedOn(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x1bK",
+		"HTTP/1.1\t200 OK", "HTTP/11 200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "200 OK",
+	} {
+		t.Run(line, func(t *testing.T) {
+			h, _, engines, desks := setUp(t)
+			h.expectLost(append(engines, desks...), rawAnswer(line, "X-Marker: 1"))
+		})
+	}
+}
+
 // invalidNames are answers in whose head the name of a field has a space or a control
 // character, or is empty. X-Marker shows whether a head was passed on.
 var invalidNames = map[string]string{
--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -16,15 +16,20 @@
 
 // Reasons for which a response is invalid.
 var (
-	errInvalidStatus    = errors.New("response has no valid final status")
-	errInvalidFieldName = errors.New("response has a field with an invalid name")
-	errTooManyInterims = errors.New("too many interim responses")
+	errInvalidStatusLine = errors.New("response is not in HTTP/1 or has an invalid reason phrase")
+	errInvalidStatus     = errors.New("response has no valid final status")
+	errInvalidFieldName  = errors.New("response has a field with an invalid name")
+	errTooManyInterims   = errors.New("too many interim responses")
 )
 
 // checkHead returns an error for a response that is none in HTTP/1.1, although net/http
-// accepts it: a status that no final response can have (RFC 9110, section 15), which includes
+// accepts it: another version of the protocol, a reason phrase with control characters, a
+// status that no final response can have (RFC 9110, section 15), which includes
 // 101, since no request asks for another protocol, or an invalid field name.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 || !httpguts.ValidHeaderFieldValue(resp.Status) {
+		return errors.Wrapf(errInvalidStatusLine, "%q", resp.Proto+" "+resp.Status)
+	}
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return errors.Wrapf(errInvalidStatus, "status %d", resp.StatusCode)
 	}
