Tell the end of an answer from a reset that a write has found

Callers saw: a part of an answer as a complete one, where a server answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset to one call only. If that is the write of the upload, the read of the answer gets what a read at the end of the input gets, and such an answer ends with its input. net/http learns of the failed write too late, or not at all.

Evidence: TestResetWithinAnEarlyAnswerIsNotItsEnd forces that order by a dialer whose connections read on only after a write has failed; the code before passed on the part as a success in 3 of 3 runs.

Change: a connection remembers the error of a write that found it broken, and a read that comes to the end of the input waits for a write under way and returns that error. EPIPE is not such an error: the system returns it where the other end had ended its side in order, so that what was read is whole (TestResetAfterAnEarlyAnswerLosesNothing, which passed before too). Early answers to an upload that is read on are delivered as before: without a length, with one, in chunks, and after interim responses (TestEarlyAnswersAreDelivered).

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -19,7 +21,8 @@
 
 // countedConn is a connection that counts its writes. The count shows whether any
 // byte of a request can have been handed to the operating system. It also counts the lines
-// of the head of a response, each of which takes far more memory than its bytes.
+// of the head of a response, each of which takes far more memory than its bytes, and tells
+// the end of a response from a broken connection.
 type countedConn struct {
 	net.Conn
 	// maxHeadLines bounds the lines of a head; 0 for no bound.
@@ -31,6 +34,10 @@
 	mu             sync.Mutex
 	writes         uint64
 	writeForbidden bool
+	// writing is held during a write; brokenBy is the error of the first write that found
+	// the connection broken.
+	writing  sync.Mutex
+	brokenBy error
 }
 
 // beginHead says that a response is awaited.
@@ -50,9 +57,30 @@
 	if c.maxHeadLines > 0 && c.inHead.Load() {
 		c.headLines.Add(int64(bytes.Count(p[:n], []byte("\n"))))
 	}
+	if err == io.EOF {
+		err = c.endOfInput()
+	}
 	return n, err
 }
 
+// endOfInput returns io.EOF if the other end has ended its side of the connection, and the
+// error of a write if that has found the connection broken. The system reports a reset only
+// once: the read after a write that got the report can't be told from one at the end of the
+// input, which completes a response without a length.
+func (c *countedConn) endOfInput() error {
+	if !c.writing.TryLock() {
+		// A write that got the report is about to return; one that waits to go on is of no
+		// use any more.
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	if c.brokenBy != nil {
+		return c.brokenBy
+	}
+	return io.EOF
+}
+
 // Write counts the write before it tries it. It fails without writing once
 // closeIfUnwritten has forbidden writes.
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -63,7 +91,20 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.brokenBy == nil && isBroken(err) {
+		c.brokenBy = err
+	}
+	return n, err
+}
+
+// isBroken reports whether the error of a write means that the connection is broken in both
+// directions. EPIPE does not: the other end had ended its side in order before.
+func isBroken(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
 
 // SyscallConn returns the raw connection. It implements syscall.Conn.
