Check and bound the answers of the object API

What was seen: the routers' and controllers' client of the object API took a write for done on a success in HTTP/2.0 or with a space in the name of a field, and kept all of a body without an end for as long as its call had time: 2 s and more, whatever the memory of the process.

Cause: a third HTTP client with neither the checks nor a bound. The clients of engines and plain services had the checks, but no bound on the lines of a head.

Evidence: of the seven cases of TestInvalidAnswerConfirmsNothing in internal/platform, four failed before: version and space (confirmed), body and chunks without an end (read for 2.9 s and 2.1 s). A status of 000 and a head that is cut off or has no end were unknown outcomes already.

Change: the client uses httpcall.Transport, and an answer above ClientConfig.MaxAnswerBytes, 64 MiB by default, counts as none. The bound on lines is a part of httpcall.DefaultConfig.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -99,7 +99,10 @@
 
 // DefaultConfig returns the limits for upstreams in the same region.
 func DefaultConfig() Config {
-	return Config{DialTimeout: time.Second, IdleTimeout: 30 * time.Second, MaxIdle: 256, MaxHeaderBytes: DefaultMaxHeaderBytes}
+	return Config{
+		DialTimeout: time.Second, IdleTimeout: 30 * time.Second, MaxIdle: 256,
+		MaxHeaderBytes: DefaultMaxHeaderBytes, MaxHeaderLines: DefaultMaxHeaderLines,
+	}
 }
 
 // Client sends requests and keeps connections for later ones. Its methods may be
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutline/chestnutline/internal/httpcall"
 )
 
 // DefaultTimeout is the time limit of one call when ClientConfig.Timeout is 0.
@@ -25,6 +27,8 @@
 	idleConnections = 32
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 30 * time.Second
+	// DefaultMaxAnswerBytes is the limit on an answer when ClientConfig.MaxAnswerBytes is 0.
+	DefaultMaxAnswerBytes = 64 << 20
 )
 
 // ClientConfig holds the settings of a Client.
@@ -35,6 +39,10 @@
 	// addition. A shorter timeout detects silent connections sooner, a longer
 	// one tolerates a slow store. 0 means DefaultTimeout.
 	Timeout time.Duration
+	// MaxAnswerBytes bounds the body of an answer, of which all is kept in memory; a larger
+	// one counts as none. It must be above the size of the longest list. 0 means
+	// DefaultMaxAnswerBytes.
+	MaxAnswerBytes int64
 	// DataCentre is the caller's own data centre; Hosts returns addresses as
 	// they are reachable from it.
 	DataCentre string
@@ -47,9 +55,9 @@
 type Client struct {
 	base       *url.URL
 	timeout    time.Duration
+	maxAnswer  int64
 	dataCentre string
 	http       *http.Client
-	transport  *http.Transport
 	hostCache  hostListCache
 }
 
@@ -66,23 +74,27 @@
 	if c.Timeout <= 0 {
 		c.Timeout = DefaultTimeout
 	}
-	t := &http.Transport{
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+	if c.MaxAnswerBytes <= 0 {
+		c.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
+	t := httpcall.NewTransport(&http.Transport{
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httpcall.DefaultMaxHeaderBytes,
+	}, httpcall.DefaultMaxHeaderLines)
 	return &Client{
 		base:       base,
 		timeout:    c.Timeout,
+		maxAnswer:  c.MaxAnswerBytes,
 		dataCentre: c.DataCentre,
 		http:       &http.Client{Transport: t},
-		transport:  t,
 	}, nil
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.http.CloseIdleConnections()
 }
 
 // Get returns the object with the key, or ErrNotFound.
@@ -224,7 +236,10 @@
 		return apiResponse{}, c.noAnswerError(ctx, connected.Load(), err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, c.maxAnswer+1))
+	if err == nil && int64(len(content)) > c.maxAnswer {
+		err = errors.Errorf("answer is longer than %d bytes", c.maxAnswer)
+	}
 	if err != nil {
 		return apiResponse{}, c.noAnswerError(ctx, true, err)
 	}
@@ -244,7 +259,7 @@
 // next calls open new ones.
 func (c *Client) noAnswerError(ctx context.Context, sent bool, cause error) error {
 	if ctx.Err() != nil {
-		c.transport.CloseIdleConnections()
+		c.http.CloseIdleConnections()
 	}
 	if !sent {
 		return errors.Wrapf(ErrUnavailable, "never sent: %v", cause)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +48,49 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// TestInvalidAnswerConfirmsNothing guards against writes that are taken for done on bytes that
+// are no answer, or on one whose head or body has no end.
+func TestInvalidAnswerConfirmsNothing(t *testing.T) {
+	const maxAnswer = 1 << 20
+	version := platform.VersionHeader + ": 2\r\n"
+	for name, raw := range map[string]struct{ first, again string }{
+		"status":         {first: "HTTP/1.1 000 OK\r\n" + version + "\r\n"},
+		"version":        {first: "HTTP/2.0 200 OK\r\n" + version + "\r\n"},
+		"space in name":  {first: "HTTP/1.1 200 OK\r\n" + version + "X Odd: 1\r\n\r\n"},
+		"head cut off":   {first: "HTTP/1.1 200 OK\r\n" + version},
+		"endless head":   {first: "HTTP/1.1 200 OK\r\n" + version, again: "X: 1\r\n"},
+		"endless body":   {first: "HTTP/1.1 200 OK\r\n" + version + "\r\n", again: "        "},
+		"endless chunks": {first: "HTTP/1.1 200 OK\r\n" + version + "Transfer-Encoding: chunked\r\n\r\n", again: "8\r\n        \r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var written atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				io.WriteString(conn, raw.first)
+				again := strings.Repeat(raw.again, 1<<10)
+				for err == nil && raw.again != "" {
+					_, err = io.WriteString(conn, again)
+					written.Add(int64(len(again)))
+				}
+			}))
+			defer server.Close()
+			client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL, MaxAnswerBytes: maxAnswer})
+			g.Expect(err).NotTo(HaveOccurred())
+			defer client.Close()
+			start := time.Now()
+			_, err = client.Put(context.Background(), "k", nil, 1)
+			g.Expect(errors.Is(err, platform.ErrUnknown)).To(BeTrue(), "%v", err)
+			g.Expect(time.Since(start)).To(BeNumerically("<", platform.DefaultTimeout), "not read until the time limit")
+			t.Logf("%d bytes were taken from the server", written.Load())
+		})
+	}
+}
+
 func TestStatusOfAndErrorOfAreInverse(t *testing.T) {
 	g := NewWithT(t)
 	for _, err := range []error{
