Take no answer without an end for the confirmation of an order

What was seen: an order for memory counted as carried out when its answer began with a valid head and went on without an end.

Cause: the body of such an answer is read up to 64 KiB and dropped; the rest was left unread, and the order counted as done.

A status of 000 or 101, a head or a body that is cut off, and a head or interim responses without an end were errors already; sound answers are still confirmations.

Change: an answer to an order of more than 64 KiB is an error. Its memory counts as not reserved; if the server holds it all the same, that ends with the time that the order names.

--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -20,14 +20,10 @@
 // uploadBytes is the size of an upload that doesn't fit into the buffers of a connection.
 const uploadBytes = 8 << 20
 
-// startEarlyServer starts a server of the desk that answers requests before it has read their
-// bodies, by the given function, and one host that opens its connections to it by the dialer.
-func startEarlyServer(t *testing.T, dialer *resetDialer, answer func(conn *net.TCPConn, head string)) *testHost {
+// listenRaw answers the requests on the connections of a new address, one on each, by a
+// function that may write anything, and returns the address. The body of a request is not read.
+func listenRaw(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) string {
 	t.Helper()
-	store := standin.NewStore()
-	t.Cleanup(store.Close)
-	store.MaxBodyBytes = uploadBytes
-	store.PutConfiguration(1, "k1")
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -42,15 +38,29 @@
 			go func() {
 				defer conn.Close()
 				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					head := "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nRequest-Id: " + r.Header.Get(standin.HeaderRequestID) + "\r\n"
-					answer(conn.(*net.TCPConn), head)
+					answer(conn.(*net.TCPConn), r)
 				}
 			}()
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// startEarlyServer starts a server of the desk that answers requests before it has read their
+// bodies, by a function that gets the begin of a head, and one host that opens its connections
+// to it by the dialer.
+func startEarlyServer(t *testing.T, dialer *resetDialer, answer func(conn *net.TCPConn, head string)) *testHost {
+	t.Helper()
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	store.MaxBodyBytes = uploadBytes
+	store.PutConfiguration(1, "k1")
+	address := listenRaw(t, func(conn *net.TCPConn, r *http.Request) {
+		answer(conn, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nRequest-Id: "+r.Header.Get(standin.HeaderRequestID)+"\r\n")
+	})
 	s := standin.NewServer("i-d1")
 	t.Cleanup(s.Close)
-	s.RegisterAt(store, listener.Addr().String(), "desk", "a", standin.StateReady)
+	s.RegisterAt(store, address, "desk", "a", standin.StateReady)
 	if dialer == nil {
 		return startHost(t, "h1", store)
 	}
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -104,7 +104,11 @@
 		inspect(response)
 	}
 	const maxOrderAnswer = 64 << 10
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderAnswer)); err != nil {
+	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderAnswer+1))
+	if err == nil && size > maxOrderAnswer {
+		err = errors.Errorf("longer than %d bytes", maxOrderAnswer)
+	}
+	if err != nil {
 		return errors.Wrap(err, "read the answer to an order")
 	}
 	if response.StatusCode != http.StatusOK {
