Accept no response in HTTP/1.0 with a transfer encoding

Callers saw: a success whose body held the lines of its chunks, where a server's head said HTTP/1.0 and named the encoding "chunked".

Cause: HTTP/1.0 has no transfer encodings. net/http drops the field and takes the body as it comes, while RFC 9112 (section 6.1) has the framing of such a response count as faulty.

Evidence: three of the eight cases of TestUnknownFramingIsNotPassedOn failed before: without a length, with one (5 bytes of the chunks' lines were a success), and after an interim response. Other encodings, two encodings, two lengths and odd ones were lost already.

Change: a connection notes which of the heads it reads name an encoding, and a response in HTTP/1.0 whose head does is invalid. Sound answers in HTTP/1.0 pass as before, also with such a line in their body (TestSoundAnswersInOldVersionAreDelivered).

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -184,6 +184,46 @@
 	}
 }
 
+// TestUnknownFramingIsNotPassedOn guards against bodies that are not the server's, since nothing
+// tells how they are framed: HTTP/1.0 has no transfer encodings.
+func TestUnknownFramingIsNotPassedOn(t *testing.T) {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rawEvent), rawEvent)
+	old := strings.Replace(rawHead, "1.1", "1.0", 1)
+	for name, raw := range map[string]string{
+		"chunks":                      old + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"length too":                  old + "TRANSFER-encoding:chunked\r\nContent-Length: 5\r\n\r\n" + chunks,
+		"after an interim response":   "HTTP/1.1 103 Early Hints\r\n\r\n" + old + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"unknown encoding":            rawHead + "Transfer-Encoding: gzip\r\n\r\n" + chunks,
+		"two encodings":               rawHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"two lengths":                 rawHead + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n" + rawEvent,
+		"length that is no number":    rawHead + "Content-Length: +5\r\n\r\n" + rawEvent,
+		"length in two parts, folded": rawHead + "Content-Length: 1\r\n 8\r\n\r\n" + rawEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, _, engines, desks := setUp(t)
+			h.expectLost(append(engines, desks...), raw)
+		})
+	}
+}
+
+// TestSoundAnswersInOldVersionAreDelivered guards against sound answers that are lost: in
+// HTTP/1.0, with what looks like a field in the body.
+func TestSoundAnswersInOldVersionAreDelivered(t *testing.T) {
+	g := NewWithT(t)
+	h, _, engines, desks := setUp(t)
+	const event = "id: 0\ndata: token\n\ntransfer-encoding: chunked\nid: 1\ndata: token\n\n"
+	for _, head := range []string{strings.Replace(rawHead, "1.1", "1.0", 1), "HTTP/1.1 103 Early Hints\r\n\r\n" + strings.Replace(rawHead, "1.1", "1.0", 1)} {
+		for _, s := range append(engines, desks...) {
+			s.SetRawAnswer(head + "\r\n" + event)
+		}
+		for _, path := range paths {
+			answer := h.sendTo(path, "r-1")
+			g.Expect(answer.readError).NotTo(HaveOccurred())
+			g.Expect([]any{answer.status, answer.body}).To(Equal([]any{http.StatusOK, event}))
+		}
+	}
+}
+
 // TestHeadCutOffIsNotPassedOn guards against answers whose server closes the connection within
 // the head: an empty or short body that looks complete.
 func TestHeadCutOffIsNotPassedOn(t *testing.T) {
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -32,6 +32,7 @@
 	inHead         atomic.Bool
 	headLines      atomic.Int64
 	mu             sync.Mutex
+	encodings      encodingScanner
 	writes         uint64
 	writeForbidden bool
 	// writing is held during a write; brokenBy is the error of the first write that found
@@ -43,9 +44,20 @@
 // beginHead says that a response is awaited.
 func (c *countedConn) beginHead() {
 	c.headLines.Store(0)
+	c.mu.Lock()
+	c.encodings = encodingScanner{}
+	c.mu.Unlock()
 	c.inHead.Store(true)
 }
 
+// namesEncoding reports whether the response that some interim ones preceded names a transfer
+// encoding.
+func (c *countedConn) namesEncoding(interims int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.encodings.foundIn(interims)
+}
+
 // Read counts the lines of heads. The last read of a head may hold a part of the body, so
 // the count is checked by the next one. A read that began on an idle connection may end with
 // the head of the next response, so the state is looked at after the read.
@@ -54,8 +66,11 @@
 		return 0, errTooManyLines
 	}
 	n, err := c.Conn.Read(p)
-	if c.maxHeadLines > 0 && c.inHead.Load() {
+	if c.inHead.Load() {
 		c.headLines.Add(int64(bytes.Count(p[:n], []byte("\n"))))
+		c.mu.Lock()
+		c.encodings.scan(p[:n])
+		c.mu.Unlock()
 	}
 	if err == io.EOF {
 		err = c.endOfInput()
--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -19,6 +19,7 @@
 	errInvalidStatusLine = errors.New("response is not in HTTP/1 or has an invalid reason phrase")
 	errInvalidStatus     = errors.New("response has no valid final status")
 	errInvalidFieldName  = errors.New("response has a field with an invalid name")
+	errFramingUnknown    = errors.New("response in HTTP/1.0 has a transfer encoding")
 	errTooManyInterims   = errors.New("too many interim responses")
 )
 
@@ -47,3 +48,45 @@
 	}
 	return nil
 }
+
+// encodingScanner finds out which heads in the bytes of a connection name a transfer encoding.
+// net/http drops that field from a response in HTTP/1.0 and passes the encoded body on.
+type encodingScanner struct {
+	// name is the begin of the present line in lower case, length the number of its bytes.
+	name   [len(transferEncoding)]byte
+	length int
+	// head is the number of blank lines so far, and found has a bit for each of the first
+	// heads, which is set if the head names an encoding.
+	head  int
+	found uint32
+}
+
+const transferEncoding = "transfer-encoding"
+
+// scan continues with more bytes.
+func (s *encodingScanner) scan(p []byte) {
+	for _, b := range p {
+		switch {
+		case b == '\n':
+			if s.length == 0 {
+				s.head++
+			}
+			s.length = 0
+			continue
+		case b == '\r':
+			continue
+		case s.length < len(s.name):
+			if 'A' <= b && b <= 'Z' {
+				b += 'a' - 'A'
+			}
+			s.name[s.length] = b
+		}
+		s.length++
+		if s.length == len(s.name) && string(s.name[:]) == transferEncoding && s.head <= maxInterims {
+			s.found |= 1 << s.head
+		}
+	}
+}
+
+// foundIn reports whether a head names an encoding, which a number of others preceded.
+func (s *encodingScanner) foundIn(head int) bool { return s.found&(1<<head) != 0 }
--- a/internal/httpcall/transport.go
+++ b/internal/httpcall/transport.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	err = checkHead(resp)
+	if err == nil && !resp.ProtoAtLeast(1, 1) && tracker.namesEncoding() {
+		err = errFramingUnknown
+	}
+	if err != nil {
 		// A connection whose response has no body may be in the pool again already.
 		tracker.closeAll()
 		resp.Body.Close()
@@ -109,6 +113,17 @@
 	return checkFieldNames(header)
 }
 
+// namesEncoding reports whether the final response names a transfer encoding.
+func (t *connTracker) namesEncoding() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.handovers) == 0 {
+		return false
+	}
+	last := t.handovers[len(t.handovers)-1]
+	return last.conn != nil && last.conn.namesEncoding(t.interims)
+}
+
 // closeAll closes the connections of the request.
 func (t *connTracker) closeAll() {
 	t.mu.Lock()
