Share the raw server of the tests of broken answers

Cause: the tests of the gateway and of the store's client each had a listener that writes raw bytes, and the tests of the gateway wrote the mark for a request's id out. Change: standin.ListenRaw and standin.RequestIDMark serve both; the package page of httpcall says what counts as a response.

--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -20,30 +19,12 @@
 // uploadBytes is the size of an upload that doesn't fit into the buffers of a connection.
 const uploadBytes = 8 << 20
 
-// listenRaw answers the requests on the connections of a new address, one on each, by a
-// function that may write anything, and returns the address. The body of a request is not read.
+// listenRaw starts a server that writes anything; see standin.ListenRaw.
 func listenRaw(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	address, listener := standin.ListenRaw(answer)
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return address
 }
 
 // startEarlyServer starts a server of the desk that answers requests before it has read their
--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -64,7 +64,7 @@
 func TestInvalidStatusLeavesNothingBehind(t *testing.T) {
 	h, _, engines, desks := setUp(t)
 	for _, s := range append(engines, desks...) {
-		s.SetRawAnswer("HTTP/1.1 000 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+		s.SetRawAnswer(rawAnswer("HTTP/1.1 000 OK", "X-Marker: 1"))
 	}
 	for _, path := range paths {
 		h.sendTo(path, "r-1")
@@ -115,15 +115,16 @@
 	h.expectNothingLeft()
 }
 
-// rawHead begins a signed answer, and rawEvent is a body that is one event of a stream.
+// rawHead begins an answer with the lines signed, and rawEvent is a body that is one event of a stream.
 const (
-	rawHead  = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nX-Marker: 1\r\n"
+	rawHead  = "HTTP/1.1 200 OK\r\n" + signed + "X-Marker: 1\r\n"
+	signed   = "Request-Id: " + standin.RequestIDMark + "\r\nResponse-Signature: s\r\n"
 	rawEvent = "id: 0\ndata: token\n\n"
 )
 
 // rawAnswer returns a signed answer of one event, with the given status line and other lines.
 func rawAnswer(statusLine, lines string) string {
-	return fmt.Sprintf("%s\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, lines, len(rawEvent), rawEvent)
+	return fmt.Sprintf("%s\r\n%s%s\r\nContent-Length: %d\r\n\r\n%s", statusLine, signed, lines, len(rawEvent), rawEvent)
 }
 
 // TestInvalidStatusIsNotPassedOn guards against answers whose status no answer can have.
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -1,5 +1,6 @@
 // Package httpcall sends HTTP/1.1 requests to upstreams. For a request that
-// failed, it reports exactly whether any byte of it may have been sent.
+// failed, it reports exactly whether any byte of it may have been sent. A
+// response that is not valid in HTTP/1.1 counts as lost; see Transport.
 //
 // A request with a body is handed to one connection at most once: the automatic
 // retries of net/http's transport are off. A Client keeps one pool of connections
