Check the counters after broken answers

Cause: the tests of broken answers looked at the core, the servers' places and the held memory, but not at the counters of requests that have ended. Change: each request must be counted once as ended, and a panic once; the test of late requests reads what servers got in one pass.

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,27 @@
 	}, 2*time.Second, 20*time.Millisecond).Should(Succeed())
 }
 
+// counted returns the sum of a counter over all its labels.
+func (h *testHost) counted(name string) (sum int) {
+	h.t.Helper()
+	var page strings.Builder
+	if err := h.process.metrics.Write(&page); err != nil {
+		h.t.Fatal(err)
+	}
+	for line := range strings.Lines(page.String()) {
+		fields := strings.Fields(line)
+		if metric, _, _ := strings.Cut(fields[0], "{"); metric != name {
+			continue
+		}
+		n, err := strconv.Atoi(fields[len(fields)-1])
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		sum += n
+	}
+	return sum
+}
+
 // panickingWriter is a response whose header can't be sent.
 type panickingWriter struct{ http.ResponseWriter }
 
@@ -54,6 +76,7 @@
 			}
 			NewWithT(t).Expect(func() { h.process.ingress.ServeHTTP(panickingWriter{httptest.NewRecorder()}, r) }).To(PanicWith("test"))
 			NewWithT(t).Expect(h.logs.hasEvent(7009)).To(BeTrue(), "logged")
+			NewWithT(t).Expect([]int{h.counted("gateway_ended_total"), h.counted("gateway_panics_total")}).To(Equal([]int{1, 1}))
 			h.expectNothingLeft()
 		})
 	}
@@ -70,6 +93,7 @@
 		h.sendTo(path, "r-1")
 	}
 	h.expectNothingLeft()
+	NewWithT(t).Expect(h.counted("gateway_ended_total")).To(Equal(len(paths)), "each request is counted once")
 }
 
 // paths are those of the routes for streams, unsafe calls and safe calls.
@@ -113,9 +137,11 @@
 		}
 	}
 	h.expectNothingLeft()
+	g.Expect(h.counted("gateway_ended_total")).To(Equal(len(paths)), "each request is counted once")
 }
 
-// rawHead begins an answer with the lines signed, and rawEvent is a body that is one event of a stream.
+// rawHead begins an answer with the lines signed, and rawEvent is a body that is one event of a
+// stream.
 const (
 	rawHead  = "HTTP/1.1 200 OK\r\n" + signed + "X-Marker: 1\r\n"
 	signed   = "Request-Id: " + standin.RequestIDMark + "\r\nResponse-Signature: s\r\n"
--- a/internal/gateway/late_request_test.go
+++ b/internal/gateway/late_request_test.go
@@ -49,21 +49,17 @@
 	ended.Store(true)
 	sending.Wait()
 	t.Logf("answers by status: %v", statuses)
-	for _, s := range servers {
-		for _, r := range s.ReceivedRequests() {
-			g.Expect(lost).NotTo(HaveKey(r.ID), "%s %s reached a server and got no answer", r.Method, r.Target)
-		}
-	}
 	runs := map[string]int{}
 	for _, s := range servers {
 		for _, r := range s.ReceivedRequests() {
+			g.Expect(lost).NotTo(HaveKey(r.ID), "%s %s reached a server and got no answer", r.Method, r.Target)
 			if r.Target == "/u/" && r.Executed {
 				runs[r.ID]++
 			}
 		}
 	}
 	for id, n := range runs {
-		g.Expect(n).To(Equal(1), id)
+		g.Expect(n).To(Equal(1), "runs of %s", id)
 	}
 }
 
