--- a/review/rig-3/testdata/main.go
+++ b/review/rig-3/testdata/main.go
@@ -10,7 +10,7 @@
 
 // cases holds the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"crowd": crowd, "storm": storm, "path": path, "parts": parts,
+	"crowd": crowd, "parts": parts,
 }
 
 // Exit codes.
--- a/review/rig-3/testdata/parts.go
+++ b/review/rig-3/testdata/parts.go
@@ -10,19 +10,25 @@
 
 const (
 	// storyParts and partTokens make a prompt as long as the site's longest kind of request.
+	// The story follows the first part, which all prompts share, and its first part is the
+	// one that crashes servers.
 	storyParts, partTokens = 500, 380
-	// storyRequests come within storyTime. The servers take readTime for such a prompt.
-	storyRequests       = 60
-	storyTime, readTime = time.Second, 1500 * time.Millisecond
-	// crashedServers is 0.17 of the model servers, and downTime how long they are away.
-	modelServers, crashedServers = 60, 10
-	downTime                     = 4500 * time.Millisecond
-	// lapseTime is three check-in intervals.
-	lapseTime = 3600 * time.Millisecond
+	firstPart, fatalPart   = "5c1e07a2", "91bd3f06"
+	// soundPerSecond, readsPerSecond and storyPerSecond are the traffic of all hosts; the
+	// last is 0.03 of it.
+	soundPerSecond, readsPerSecond, storyPerSecond = 150, 44, 6
+	calmTime, storyTime                            = 6 * time.Second, 20 * time.Second
+	// readTime is how long servers take before an answer begins, restartTime how long one
+	// that has crashed is away.
+	readTime, restartTime = 200 * time.Millisecond, 3 * time.Second
+	modelServers          = 60
+	// recoverTime is how long after the last request about the story status reads are sent
+	// once more.
+	recoverTime = 20 * time.Second
 )
 
-// parts is the case of servers that crash while they read long prompts of many parts. The
-// hosts must go on answering all other requests.
+// parts is the case of a part of long prompts that crashes servers. The hosts must go on
+// answering the sound prompts that share the first part, and all other requests.
 func parts(rec *record, trouble bool) (broken bool, err error) {
 	d, err := newDeployment(rec)
 	if d != nil {
@@ -34,15 +40,16 @@
 	const statusTimeout = 600 * time.Millisecond
 	d.configure(11, []map[string]any{
 		route("status-read", "/status/", "safe", "case-desk", int(statusTimeout.Milliseconds()), 150, map[string]any{"priority": 2}),
-		route("archive-audit", "/audit/", "streaming", "verdict-llm", 15000, 3000, map[string]any{"streamResume": true, "gapAimMs": 1000, "sessionAffinity": true}),
+		route("comment-check", "/check/", "streaming", "verdict-llm", 10000, 300, map[string]any{"streamResume": true, "gapAimMs": 250, "sessionAffinity": true}),
 	}, []map[string]any{modelService("verdict-llm"), plainService("case-desk")}, []string{apiKey})
+	crashes := &crashLog{}
 	for i := range modelServers {
-		if _, err := d.addReadingServer(zones[i%3]); err != nil {
+		if _, err := d.addCrashingServer(zones[i%3], trouble, crashes); err != nil {
 			return false, err
 		}
 	}
 	for i := range 3 {
-		if _, err := d.addServer("case-desk", zones[i], 6, 15*time.Millisecond); err != nil {
+		if _, err := d.addServer("case-desk", zones[i], 12, 15*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
@@ -59,21 +66,16 @@
 	time.Sleep(stableWindow)
 
 	began := time.Now()
-	storyBegins := began.Add(4 * time.Second)
-	storyEnds := storyBegins.Add(storyTime)
-	reads := d.sendEvenly(40, began, began.Add(30*time.Second), func(int) request {
-		return request{method: http.MethodGet, target: "/status/7", deadline: 5 * time.Second}
-	})
-	story := d.sendEvenly(storyRequests, storyBegins, storyEnds, storyRequest)
-	if trouble {
-		time.AfterFunc(time.Until(storyEnds.Add(200*time.Millisecond)), func() { crashServers(d) })
-	}
-	readAnswers, storyAnswers := <-reads, <-story
+	storyBegins, storyEnds := began.Add(calmTime), began.Add(calmTime+storyTime)
+	reads := d.sendEvenly(readsPerSecond, began, storyEnds, false, readRequest)
+	sound := d.sendEvenly(soundPerSecond, began, storyEnds, false, soundRequest)
+	story := d.sendEvenly(storyPerSecond, storyBegins, storyEnds, true, storyRequest)
+	readAnswers, soundAnswers, storyAnswers := <-reads, <-sound, <-story
+	time.Sleep(time.Until(storyEnds.Add(recoverTime)))
+	afterwards := <-d.sendEvenly(readsPerSecond, time.Now(), time.Now().Add(3*time.Second), false, readRequest)
 
 	atTimeout, late := 0, 0
-	longest := time.Duration(0)
 	for _, a := range readAnswers {
-		longest = max(longest, a.took)
 		if a.took > statusTimeout {
 			atTimeout++
 		}
@@ -81,11 +83,25 @@
 			late++
 		}
 	}
-	rec.say("requests about the story: %d, by status: %v", len(storyAnswers), statusCounts(storyAnswers))
-	rec.say("status reads: %d, by status: %v, the longest took %d ms", len(readAnswers), statusCounts(readAnswers), longest.Milliseconds())
-	rec.say("status reads unanswered at timeoutMs: %d, of these half a second later: %d", atTimeout, late)
-	const fewRequests = 8
-	return late >= fewRequests && 2*late > atTimeout, nil
+	fifth, all := crashes.fifth()
+	judgedFrom := fifth.Add(2 * stableWindow)
+	var calm, judged []answer
+	for _, a := range soundAnswers {
+		switch {
+		case a.sentAt.Before(storyBegins.Add(-time.Second)):
+			calm = append(calm, a)
+		case all > 0 && a.sentAt.After(judgedFrom):
+			judged = append(judged, a)
+		}
+	}
+	calmBegun, judgedBegun := statusCounts(calm)[http.StatusOK], statusCounts(judged)[http.StatusOK]
+	rec.say("servers crashed %d times; requests about the story, by status: %v", all, statusCounts(storyAnswers))
+	rec.say("status reads: %d, by status: %v, unanswered at timeoutMs: %d, of these half a second later: %d", len(readAnswers), statusCounts(readAnswers), atTimeout, late)
+	rec.say("sound prompts, by status: %v", statusCounts(soundAnswers))
+	rec.say("sound prompts that began at the first attempt: in calm %d of %d, from 2 x stableWindowMs after the fifth or last crash %d of %d", calmBegun, len(calm), judgedBegun, len(judged))
+	rec.say("status reads %v after the last request about the story: %d, by status: %v", recoverTime, len(afterwards), statusCounts(afterwards))
+	const fewRequests = 20
+	return len(calm) >= fewRequests && len(judged) >= fewRequests && 2*judgedBegun*len(calm) < calmBegun*len(judged), nil
 }
 
 // statusCounts returns the number of answers by their status; 0 stands for none.
@@ -97,13 +113,21 @@
 	return counts
 }
 
-// sendEvenly sends requests to the hosts in turn, and returns a channel for the answers.
-func (d *deployment) sendEvenly(perSecond int, from, until time.Time, q func(i int) request) chan []answer {
+// sendEvenly sends requests to the hosts in turn, and returns a channel for the answers. With
+// again, a consumer comes back once after a failure, on another host.
+func (d *deployment) sendEvenly(perSecond int, from, until time.Time, again bool, q func(i int) request) chan []answer {
 	result := make(chan []answer, 1)
 	go func() {
 		var mu sync.Mutex
 		var work sync.WaitGroup
 		var answers []answer
+		ask := func(host, i int) answer {
+			a := d.ask(d.gateways[host%len(d.gateways)], q(i), apiKey)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+			return a
+		}
 		for i := 0; ; i++ {
 			at := from.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
 			if !at.Before(until) {
@@ -111,10 +135,11 @@
 			}
 			time.Sleep(time.Until(at))
 			work.Go(func() {
-				a := d.ask(d.gateways[i%len(d.gateways)], q(i), apiKey)
-				mu.Lock()
-				defer mu.Unlock()
-				answers = append(answers, a)
+				if a := ask(i, i); again && a.status != http.StatusOK {
+					// Consumers honour Retry-After up to a third of the time that they have left.
+					time.Sleep((q(i).deadline - a.took) / 3)
+					ask(i+1, i)
+				}
 			})
 		}
 		work.Wait()
@@ -123,47 +148,84 @@
 	return result
 }
 
+// readRequest returns a read of a status.
+func readRequest(int) request {
+	return request{method: http.MethodGet, target: "/status/7", deadline: 5 * time.Second}
+}
+
+// soundRequest returns a prompt that shares only the first part with others.
+func soundRequest(i int) request {
+	return request{method: http.MethodPost, target: "/check/s", deadline: 5 * time.Second, body: fmt.Appendf(nil, `{"sound":%d}`, i), headers: []string{
+		"Model: m", "Token-Usage: 5000,680", fmt.Sprintf("Prompt-Prefix: %s:40,%08x:4960", firstPart, 0x10000000+i),
+	}}
+}
+
 // storyRequest returns a prompt about the story; its last part is its own.
 func storyRequest(i int) request {
 	var prefix strings.Builder
-	for n := range storyParts {
-		fmt.Fprintf(&prefix, "%08x:%d,", 0x5c1e07a2+n*7919, partTokens)
+	fmt.Fprintf(&prefix, "%s:40,%s:%d,", firstPart, fatalPart, partTokens)
+	for n := range storyParts - 1 {
+		fmt.Fprintf(&prefix, "%08x:%d,", 0x5c1e0800+n*7919, partTokens)
 	}
 	fmt.Fprintf(&prefix, "%08x:%d", 0xe4402b7d+i, partTokens)
-	return request{method: http.MethodPost, target: "/audit/2f", deadline: 15 * time.Second, body: fmt.Appendf(nil, `{"audit":%d}`, i), headers: []string{
-		"Model: m", fmt.Sprintf("Token-Usage: %d,680", (storyParts+1)*partTokens), "Prompt-Prefix: " + prefix.String(),
+	return request{method: http.MethodPost, target: "/check/2f", deadline: 10 * time.Second, body: fmt.Appendf(nil, `{"audit":%d}`, i), headers: []string{
+		"Model: m", fmt.Sprintf("Token-Usage: %d,680", storyParts*partTokens), "Prompt-Prefix: " + prefix.String(),
 	}}
 }
 
-// addReadingServer starts a model server that takes readTime for a prompt.
-func (d *deployment) addReadingServer(zone string) (*server, error) {
-	s, err := d.addModelServer(zone)
-	if err == nil {
-		s.mu.Lock()
-		s.work = readTime
-		s.mu.Unlock()
-	}
-	return s, err
+// crashLog holds when servers crashed.
+type crashLog struct {
+	mu sync.Mutex
+	at []time.Time
 }
 
-// crashServers makes model servers crash; others start in their place some seconds later.
-func crashServers(d *deployment) {
-	var crashed []*server
-	for i := range crashedServers {
-		s := d.server(i)
-		s.close()
-		crashed = append(crashed, s)
+func (l *crashLog) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = append(l.at, time.Now())
+}
+
+// fifth returns when the fifth crash was, or the last one if there were fewer, and the number
+// of crashes.
+func (l *crashLog) fifth() (time.Time, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.at) == 0 {
+		return time.Time{}, 0
 	}
-	d.record.log("trouble %d of %d model servers crash", crashedServers, modelServers)
-	time.Sleep(lapseTime)
-	for _, s := range crashed {
-		d.store.remove("servers", s.id)
+	return l.at[min(4, len(l.at)-1)], len(l.at)
+}
+
+// addCrashingServer starts a model server. If crashing is set, it crashes when it begins to
+// write an answer on the fatal part, and another one is there some seconds later.
+func (d *deployment) addCrashingServer(zone string, crashing bool, crashes *crashLog) (*server, error) {
+	s, err := d.addModelServer(zone)
+	if err != nil {
+		return nil, err
 	}
-	time.Sleep(downTime - lapseTime)
-	for _, s := range crashed {
-		if _, err := d.addReadingServer(s.zone); err != nil {
-			d.record.say("start a server: %v", err)
-			return
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work, s.gap = readTime, 20*time.Millisecond
+	if crashing {
+		s.beforeAnswer = func(r *http.Request) {
+			if strings.Contains(r.Header.Get("Prompt-Prefix"), fatalPart) {
+				s.crashOnce.Do(func() { d.crash(s, crashes) })
+				panic(http.ErrAbortHandler)
+			}
 		}
 	}
+	return s, nil
+}
+
+// crash ends a server, and starts another one in its place some seconds later.
+func (d *deployment) crash(s *server, crashes *crashLog) {
+	crashes.add()
+	d.record.log("trouble %s crashes", s.id)
+	s.close()
+	time.AfterFunc(restartTime, func() {
+		d.store.remove("servers", s.id)
+		if _, err := d.addCrashingServer(s.zone, true, crashes); err != nil {
+			d.record.log("start a server: %v", err)
+		}
+	})
 }
--- a/review/rig-3/testdata/record.go
+++ b/review/rig-3/testdata/record.go
@@ -11,12 +11,11 @@
 
 // record writes what was sent, answered and run, with the time since the start.
 type record struct {
-	mu     sync.Mutex
-	began  time.Time
-	file   *os.File
-	w      *bufio.Writer
-	runsOf map[string][]run
-	lines  int
+	mu    sync.Mutex
+	began time.Time
+	file  *os.File
+	w     *bufio.Writer
+	lines int
 }
 
 func newRecord(dir string) (*record, error) {
@@ -24,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{began: time.Now(), file: file, w: bufio.NewWriter(file), runsOf: map[string][]run{}}, nil
+	return &record{began: time.Now(), file: file, w: bufio.NewWriter(file)}, nil
 }
 
 // log writes one line.
@@ -56,17 +55,9 @@
 func (r *record) addRun(x run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runsOf[x.id] = append(r.runsOf[x.id], x)
 	r.line("run     %s at %s: %s %s tenant=%s", x.id, x.server, x.method, x.target, x.tenant)
 }
 
-// runsOfID returns the runs of a request.
-func (r *record) runsOfID(id string) []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]run(nil), r.runsOf[id]...)
-}
-
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig-3/testdata/server.go
+++ b/review/rig-3/testdata/server.go
@@ -31,6 +31,9 @@
 	kv     int
 	// quiet servers record none of their runs.
 	quiet bool
+	// beforeAnswer is called before an answer begins, if it is set.
+	beforeAnswer func(*http.Request)
+	crashOnce    sync.Once
 
 	record  *record
 	http    *http.Server
@@ -107,7 +110,7 @@
 	}
 	defer func() { <-s.places }()
 	s.mu.Lock()
-	events, quiet, work := s.events, s.quiet, s.work
+	events, quiet, work, beforeAnswer := s.events, s.quiet, s.work, s.beforeAnswer
 	s.mu.Unlock()
 	if !quiet {
 		s.record.addRun(run{
@@ -118,6 +121,9 @@
 	if !sleep(r, work) {
 		return
 	}
+	if beforeAnswer != nil {
+		beforeAnswer(r)
+	}
 	w.Header().Set("Response-Signature", "sig."+s.id+"."+id)
 	if events == 0 {
 		fmt.Fprintf(w, "answer to %s by %s\n", id, s.id)
--- a/review/rig-3/testdata/store.go
+++ b/review/rig-3/testdata/store.go
@@ -134,13 +134,6 @@
 	}
 }
 
-// size returns the size of an object's spec.
-func (s *store) size(kind, name string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.kinds[kind][name].Spec)
-}
-
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
