--- a/review/rig-3/testdata/deployment.go
+++ b/review/rig-3/testdata/deployment.go
@@ -49,6 +49,9 @@
 // close ends all that was started.
 func (d *deployment) close() {
 	for _, g := range d.gateways {
+		if g.command != nil && g.command.Process != nil {
+			d.record.say("host %d is ended: process %d", g.host, g.command.Process.Pid)
+		}
 		g.kill()
 	}
 	for _, s := range d.servers {
